--- a/crates/stagepond/src/balance.rs
+++ b/crates/stagepond/src/balance.rs
@@ -50,6 +50,7 @@
 const SICK: f64 = 0.2;
 const LAST_SHARE: f64 = 0.85;
 const LOOK_EVERY: f64 = 0.2;
+const DRAWS: usize = 6;
 
 type Rule = fn(&mut Balancer, &mut dyn Host) -> bool;
 
@@ -98,7 +99,6 @@
         customer: Option<Customer>,
     ) {
         self.now = host.now();
-        self.taken_since_pulse += 1.0;
         self.spare_sends = (self.spare_sends + 0.1).min(20.0);
         let (bucket, cap) = (self.bucket(op), self.cap());
         self.allowance[bucket] += cap;
@@ -137,6 +137,7 @@
         self.note_pod(pod, at, ending, in_flight);
         self.note_evidence(pod, op, took, ending);
         self.note_room(op, took, ending);
+        self.succeeded_since_pulse += f64::from(ending == Ending::Succeeded);
         if last || answered {
             self.close(inv);
         } else {
@@ -160,7 +161,11 @@
         born: Option<Tenths>, build: Build,
     ) {
         let born = born.unwrap_or(Tenths(i64::MIN / 4));
+        let known = self.pods.id.len();
         let p = self.pods.entry(pod, kind, zone, cell, born, build);
+        if p == known {
+            self.pods.pressed[p].0 = self.rng.f64();
+        }
         self.pods.weight[p] = weight.max(0.01);
         self.pods.up[p] = availability == Availability::Up;
         self.pods.listed[p] = true;
@@ -419,6 +424,10 @@
         if self.earlier.iter().filter(|p| newest(p)).count() * 2 >= self.earlier.len() {
             self.earlier.retain(newest);
         }
+        let far = |p: &usize| self.pods.zone[*p] != self.facts.zone;
+        self.earlier.sort_by_key(far);
+        self.trial.sort_by_key(far);
+        self.near = [&self.earlier, &self.trial].map(|set| set.iter().filter(|p| !far(p)).count());
     }
 
     fn trial_open(&self, op: Op) -> bool {
@@ -473,32 +482,43 @@
     /// Two random choices by fewest in flight, near pods first; a far one only where its lead is
     /// enough for the crossing.
     fn pick(&mut self, trial: bool, tried: &[usize], ok: &dyn Fn(&Self, usize) -> bool) -> Option<usize> {
-        let set = std::mem::take(if trial { &mut self.trial } else { &mut self.earlier });
-        let mean_sick = set.iter().map(|&p| self.pods.sick[p]).sum::<f64>() / set.len().max(1) as f64;
-        let mut fit: Vec<usize> = set.iter().copied().filter(|&p| ok(self, p) && self.bears(p)).collect();
-        let well = |s: &Self, p: &usize| {
-            let answers = s.now >= s.pods.shunned_till[*p] && !s.stuck(*p);
-            answers && !tried.contains(p) && s.pods.sick[*p] <= mean_sick + SICK
-        };
-        if fit.iter().any(|p| well(self, p)) {
-            fit.retain(|p| well(self, p));
-        }
-        let near: Vec<usize> =
-            fit.iter().copied().filter(|&p| self.pods.zone[p] == self.facts.zone).collect();
-        let mut two = |set: &[usize]| -> Option<usize> {
-            let a = *set.get(self.rng.usize(0..set.len().max(1)))?;
-            let b = set[self.rng.usize(0..set.len())];
-            Some(if self.load(b) < self.load(a) { b } else { a })
-        };
-        let (n, f) = (two(&near), two(&fit));
+        let (n, f) = (self.two(trial, true, tried, ok), self.two(trial, false, tried, ok));
         let lead = CROSSING_LEAD * self.facts.crossing_price;
-        *(if trial { &mut self.trial } else { &mut self.earlier }) = set;
         match (n, f) {
             (Some(n), Some(f)) if self.load(n) > (1.0 + lead) * self.load(f) + lead => Some(f),
             (n, f) => n.or(f),
         }
     }
 
+    /// Of a few drawn pods the first two that are well, in place of a pass over the fleet for each
+    /// dispatch; only where those drawn are all unfit are the others gone through.
+    fn two(
+        &mut self, trial: bool, near: bool, tried: &[usize], ok: &dyn Fn(&Self, usize) -> bool,
+    ) -> Option<usize> {
+        let set = std::mem::take(if trial { &mut self.trial } else { &mut self.earlier });
+        let from = &set[..if near { self.near[usize::from(trial)] } else { set.len() }];
+        let fit = |s: &Self, p: usize| ok(s, p) && s.bears(p);
+        let well = |s: &Self, p: usize| {
+            let answers = s.now >= s.pods.shunned_till[p] && !s.stuck(p);
+            answers && !tried.contains(&p) && s.pods.sick[p] <= s.mean_sick + SICK && fit(s, p)
+        };
+        let (mut best, mut found) = (None, 0);
+        for _ in 0..if from.is_empty() { 0 } else { DRAWS } {
+            let p = from[self.rng.usize(0..from.len())];
+            if found < 2 && well(self, p) {
+                best = best.filter(|&b| self.load(b) <= self.load(p)).or(Some(p));
+                found += 1;
+            }
+        }
+        if found == 0 {
+            let from_here = self.rng.usize(0..from.len().max(1));
+            let turned = || from[from_here..].iter().chain(&from[..from_here]).copied();
+            best = turned().find(|&p| well(self, p)).or_else(|| turned().find(|&p| fit(self, p)));
+        }
+        *(if trial { &mut self.trial } else { &mut self.earlier }) = set;
+        best
+    }
+
     fn load(&self, p: usize) -> f64 {
         // A report ages: a pod once found busy and avoided since would never be found idle again.
         let age = (self.now - self.pods.heard[p]).secs().max(0.0);
@@ -513,7 +533,7 @@
 
     fn cold_rate(&self, p: usize) -> f64 {
         let pods = (self.earlier.len() + self.trial.len()).max(1) as f64;
-        0.6 * self.facts.fall_multiple * self.warmth(p) * (self.rate / pods).max(0.5)
+        0.6 * self.facts.fall_multiple * self.warmth(p) * self.rate / pods
     }
 
     fn pressure(&self, p: usize) -> f64 {
@@ -522,9 +542,11 @@
     }
 
     /// Against pushing a cold pod over: it looks idle to every sidecar at once. Each keeps to its part
-    /// of what a warm pod usually gets, by its own long-run rate, so that a burst does not count.
+    /// of what a warm pod usually answers well, over a long time, so that neither a burst nor what errs at any
+    /// pod counts. Where that part is less than a dispatch, chance says (in `pod`) who sends the first and
+    /// when: hundreds that each send just one are a burst too.
     fn bears(&self, p: usize) -> bool {
-        self.warmth(p) >= 1.0 || self.pressure(p) < 1.0 + 0.3 * self.cold_rate(p)
+        self.warmth(p) >= 1.0 || self.pressure(p) <= 0.3 * self.cold_rate(p)
     }
 
     fn stuck(&self, p: usize) -> bool {
@@ -702,8 +724,10 @@
         self.pulse_at = self.now + PULSE;
         self.ready.append(&mut self.waiting);
         let up = (self.now - self.awake_since).secs().max(1.0);
-        self.rate += (self.taken_since_pulse / dt - self.rate) * (dt / 8.0).max(dt / up).min(1.0);
-        self.taken_since_pulse = 0.0;
+        self.rate += (self.succeeded_since_pulse / dt - self.rate) * (dt / 15.0).max(dt / up).min(1.0);
+        self.succeeded_since_pulse = 0.0;
+        self.mean_sick = self.earlier.iter().chain(&self.trial).map(|&p| self.pods.sick[p]).sum::<f64>()
+            / (self.earlier.len() + self.trial.len()).max(1) as f64;
         self.weigh_fleet();
         if self.facts.one_way_keys {
             let share = (0.8 * self.cap()).min(0.9 * self.even_share());
--- a/crates/stagepond/src/state.rs
+++ b/crates/stagepond/src/state.rs
@@ -242,6 +242,9 @@
     pub(crate) pods: Pods,
     pub(crate) earlier: Vec<usize>,
     pub(crate) trial: Vec<usize>,
+    /// How many of the earlier and of the trial pods are near; they come first.
+    pub(crate) near: [usize; 2],
+    pub(crate) mean_sick: f64,
 
     pub(crate) invs: HashMap<InvId, Inv>,
     pub(crate) ready: VecDeque<InvId>,
@@ -253,7 +256,7 @@
     pub(crate) room: f64,
     /// Answers since the room was last set: the tardy ones, and all.
     pub(crate) pace: (f64, f64),
-    pub(crate) taken_since_pulse: f64,
+    pub(crate) succeeded_since_pulse: f64,
     pub(crate) rate: f64,
     pub(crate) spare_sends: f64,
     pub(crate) customer_share: Vec<f64>,
--- a/crates/stagepond/tests/stories.rs
+++ b/crates/stagepond/tests/stories.rs
@@ -120,6 +120,26 @@
     assert_eq!(s.round_trip(20, Ending::Succeeded), Some(1));
 }
 
+#[rstest]
+fn many_quiet_sidecars_do_not_all_send_to_cold_pods_at_once() {
+    let tries = (0..100).filter(|&seed| {
+        let mut s = seeded(facts(), seed);
+        s.news(1, 0, Phase::Released, 1.0);
+        s.list(true, &[(1, 1, 0), (2, 1, 0)]);
+        for n in 0..60 {
+            if n == 50 {
+                let born = s.host.now.0 / 10;
+                s.list(true, &[(1, 1, born), (2, 1, born)]);
+            }
+            s.round_trip(20, Ending::Succeeded);
+            s.pass(1500);
+        }
+        !s.pods_met(51..52).is_empty()
+    });
+    let tries = tries.count();
+    assert!(tries < 60, "{tries}");
+}
+
 #[rstest]
 fn a_restarted_pod_is_cold_again_and_a_reused_id_another_machine() {
     let mut s = quiet(facts());
