--- a/crates/stagepond/src/balance.rs
+++ b/crates/stagepond/src/balance.rs
@@ -527,13 +527,12 @@
     }
 
     fn warmth(&self, p: usize) -> f64 {
-        let age = (self.now - self.pods.born[p]).0 as f64 / self.facts.warm_after.0.max(1) as f64;
+        let age = (self.now - self.pods.cold_at[p]).0 as f64 / self.facts.warm_after.0.max(1) as f64;
         (self.facts.cold_share + (1.0 - self.facts.cold_share) * age.max(0.0)).min(1.0)
     }
 
     fn cold_rate(&self, p: usize) -> f64 {
-        let pods = (self.earlier.len() + self.trial.len()).max(1) as f64;
-        0.6 * self.facts.fall_multiple * self.warmth(p) * self.rate / pods
+        0.6 * self.facts.fall_multiple * self.warmth(p) * self.rate_a_pod
     }
 
     fn pressure(&self, p: usize) -> f64 {
@@ -565,6 +564,10 @@
             Ending::Error => 1.0,
             Ending::TimedOut if self.pods.heard[p] > at => return,
             Ending::TimedOut | Ending::NoConnection | Ending::Reset => {
+                // A process that took no connection may have died, and comes back cold before the list knows.
+                if ending != Ending::TimedOut {
+                    (self.pods.cold_at[p], self.pods.pressed[p]) = (self.now, (self.rng.f64(), self.now));
+                }
                 // A pod that has gone silent would look idle once what it holds has timed out.
                 self.pods.strikes[p] = (self.pods.strikes[p] + 1).min(4);
                 self.pods.shunned_till[p] = self.now + Tenths::ms(250 << self.pods.strikes[p]);
@@ -726,8 +729,9 @@
         let up = (self.now - self.awake_since).secs().max(1.0);
         self.rate += (self.succeeded_since_pulse / dt - self.rate) * (dt / 15.0).max(dt / up).min(1.0);
         self.succeeded_since_pulse = 0.0;
-        self.mean_sick = self.earlier.iter().chain(&self.trial).map(|&p| self.pods.sick[p]).sum::<f64>()
-            / (self.earlier.len() + self.trial.len()).max(1) as f64;
+        let pods = (self.earlier.len() + self.trial.len()).max(1) as f64;
+        let sick = self.earlier.iter().chain(&self.trial).map(|&p| self.pods.sick[p]).sum::<f64>();
+        (self.mean_sick, self.rate_a_pod) = (sick / pods, self.rate / pods);
         self.weigh_fleet();
         if self.facts.one_way_keys {
             let share = (0.8 * self.cap()).min(0.9 * self.even_share());
--- a/crates/stagepond/src/state.rs
+++ b/crates/stagepond/src/state.rs
@@ -25,6 +25,7 @@
     pub heard: Vec<Tenths>,
     pub shunned_till: Vec<Tenths>,
     pub strikes: Vec<u32>,
+    pub cold_at: Vec<Tenths>,
     pub pressed: Vec<(f64, Tenths)>,
     pub blamed: Vec<Tenths>,
 }
@@ -56,6 +57,7 @@
         self.heard.push(born);
         self.shunned_till.push(Tenths(0));
         self.strikes.push(0);
+        self.cold_at.push(born);
         self.pressed.push((0.0, born));
         self.blamed.push(born);
         p
@@ -258,6 +260,7 @@
     pub(crate) pace: (f64, f64),
     pub(crate) succeeded_since_pulse: f64,
     pub(crate) rate: f64,
+    pub(crate) rate_a_pod: f64,
     pub(crate) spare_sends: f64,
     pub(crate) customer_share: Vec<f64>,
     pub(crate) value_density: f64,
