--- a/crates/stagepond/src/balance.rs
+++ b/crates/stagepond/src/balance.rs
@@ -51,6 +51,7 @@
 const LAST_SHARE: f64 = 0.85;
 const LOOK_EVERY: f64 = 0.2;
 const DRAWS: usize = 6;
+const SPILL_A_SECOND: f64 = 0.5;
 
 type Rule = fn(&mut Balancer, &mut dyn Host) -> bool;
 
@@ -136,7 +137,7 @@
         }
         self.note_pod(pod, at, ending, in_flight);
         self.note_evidence(pod, op, took, ending);
-        self.note_room(op, took, ending);
+        self.note_room(pod, op, took, ending);
         self.succeeded_since_pulse += f64::from(ending == Ending::Succeeded);
         if last || answered {
             self.close(inv);
@@ -148,6 +149,12 @@
 
     pub fn aborted(&mut self, host: &mut dyn Host, inv: &InvId) {
         self.now = host.now();
+        // Who leaves early waits on a pod whose time-out would tell only seconds later.
+        let left = self.invs.get(inv).filter(|i| !i.answered).and_then(|i| Some((i.op, i.sent.last()?)));
+        if let Some((op, pod, took)) = left.filter(|l| !l.1.over).map(|(op, s)| (op, s.pod, self.now - s.at))
+        {
+            self.note_room(pod, op, took, Ending::Succeeded);
+        }
         self.close(inv);
         self.settle(host);
     }
@@ -485,6 +492,7 @@
         let (n, f) = (self.two(trial, true, tried, ok), self.two(trial, false, tried, ok));
         let lead = CROSSING_LEAD * self.facts.crossing_price;
         match (n, f) {
+            (_, Some(f)) if self.rng.f64() < self.spill => Some(f),
             (Some(n), Some(f)) if self.load(n) > (1.0 + lead) * self.load(f) + lead => Some(f),
             (n, f) => n.or(f),
         }
@@ -496,7 +504,8 @@
         &mut self, trial: bool, near: bool, tried: &[usize], ok: &dyn Fn(&Self, usize) -> bool,
     ) -> Option<usize> {
         let set = std::mem::take(if trial { &mut self.trial } else { &mut self.earlier });
-        let from = &set[..if near { self.near[usize::from(trial)] } else { set.len() }];
+        let (here, there) = set.split_at(self.near[usize::from(trial)]);
+        let from = if near { here } else { there };
         let fit = |s: &Self, p: usize| ok(s, p) && s.bears(p);
         let well = |s: &Self, p: usize| {
             let answers = s.now >= s.pods.shunned_till[p] && !s.stuck(p);
@@ -689,13 +698,18 @@
 
     /// The room goes by how many answers take over half the SLO time, not by the late ones: a few
     /// costly invocations are late on an idle fleet, and throttling the others would not help them.
-    fn note_room(&mut self, op: Op, took: Tenths, ending: Ending) {
+    fn note_room(&mut self, p: usize, op: Op, took: Tenths, ending: Ending) {
         let slo = self.facts.operations[op.0].slo_time;
         let tardy = match ending {
             Ending::Succeeded => took > slo.part(0.5),
-            Ending::TimedOut | Ending::Full => true,
+            Ending::TimedOut | Ending::Full | Ending::NoConnection => true,
             _ => return,
         };
+        let far = usize::from(self.pods.zone[p] != self.facts.zone);
+        self.tardy[far] += (f64::from(tardy) - self.tardy[far]) * 0.1;
+        if ending == Ending::NoConnection {
+            return;
+        }
         self.pace = (self.pace.0 + f64::from(tardy), self.pace.1 + 1.0);
         if self.pace.1 < 8.0_f64.max(0.3 * self.room) {
             return;
@@ -732,6 +746,11 @@
         let pods = (self.earlier.len() + self.trial.len()).max(1) as f64;
         let sick = self.earlier.iter().chain(&self.trial).map(|&p| self.pods.sick[p]).sum::<f64>();
         (self.mean_sick, self.rate_a_pod) = (sick / pods, self.rate / pods);
+        // Near pods may be the only slow ones: traffic has moved here, or their zone is ill. A sidecar with one
+        // invocation in flight sees no lead in numbers, so it goes by time; what the far ones do brings it back.
+        let gain = self.tardy[0] - self.tardy[1] - self.facts.crossing_price - 0.05;
+        self.spill = (self.spill + SPILL_A_SECOND * gain * dt).clamp(0.0, 0.8);
+        self.tardy[1] *= 1.0 - 0.1 * dt;
         self.weigh_fleet();
         if self.facts.one_way_keys {
             let share = (0.8 * self.cap()).min(0.9 * self.even_share());
--- a/crates/stagepond/src/state.rs
+++ b/crates/stagepond/src/state.rs
@@ -247,6 +247,10 @@
     /// How many of the earlier and of the trial pods are near; they come first.
     pub(crate) near: [usize; 2],
     pub(crate) mean_sick: f64,
+    /// Share of tardy answers, near and far.
+    pub(crate) tardy: [f64; 2],
+    /// Share of dispatches that go far though near pods would do.
+    pub(crate) spill: f64,
 
     pub(crate) invs: HashMap<InvId, Inv>,
     pub(crate) ready: VecDeque<InvId>,
--- a/crates/stagepond/tests/stories.rs
+++ b/crates/stagepond/tests/stories.rs
@@ -252,6 +252,20 @@
     assert!(hits < 20, "{hits}");
 }
 
+#[rstest]
+fn one_invocation_at_a_time_still_finds_the_far_pods_when_near_ones_are_slow() {
+    let mut s = quiet(facts());
+    let mut far = 0;
+    for n in 0..200 {
+        let inv = s.take(FETCH);
+        let near = s.last_pod(&inv).unwrap() <= 2;
+        far += usize::from(!near && n > 100);
+        s.pass(100);
+        s.end(&inv, 0, if near { 400 } else { 50 }, Ending::Succeeded);
+    }
+    assert!(far > 30, "{far}");
+}
+
 #[rstest]
 #[case::copies_allowed(true)]
 #[case::one_at_a_time(false)]
