--- a/crates/stagepond/src/balance.rs
+++ b/crates/stagepond/src/balance.rs
@@ -81,6 +81,7 @@
             usual: (0..facts.kinds.max(1)).flat_map(|_| facts.operations.iter().map(usual)).collect(),
             erring: vec![erring; ops],
             flags: 1.0,
+            cured: 0.5,
             succeeded: 250.0,
             mine: Said { life: rng.u16(..), ..Said::default() },
             said: vec![Said::default(); facts.sidecars],
@@ -130,13 +131,30 @@
         let Some(sent) = found.sent.get_mut(nth).filter(|s| !s.over) else { return self.settle(host) };
         sent.over = true;
         sent.never_ran = ending.proves_unrun();
-        let (pod, at, op, answered) = (sent.pod, sent.at, found.op, found.answered);
+        sent.erred = matches!(ending, Ending::Error | Ending::Reset);
+        let (pod, at, op, answered, erred) = (sent.pod, sent.at, found.op, found.answered, sent.erred);
+        let before: Vec<usize> =
+            found.sent[..nth].iter().filter(|s| s.erred && s.pod != pod).map(|s| s.pod).collect();
         if let Some(key) = found.key.filter(|_| ending == Ending::Succeeded && self.facts.one_way_keys) {
             let to = self.bound.entry(key).or_insert(self.pods.build[pod]);
             *to = (*to).max(self.pods.build[pod]);
         }
         self.note_pod(pod, at, ending, in_flight);
-        self.note_evidence(pod, op, took, ending);
+        // What errs at any pod blames neither pod nor build: an error counts once another pod has answered the
+        // same invocation well, or at once where none may be asked.
+        let last_word = !self.may_send_again(&self.invs[inv]) || nth + 1 >= self.facts.dispatches_max;
+        let share = 0.05 * before.len() as f64;
+        if ending == Ending::Succeeded {
+            self.cured += (1.0 - self.cured) * share;
+            before.iter().for_each(|&p| self.blame(p, op));
+        }
+        if !erred {
+            self.note_evidence(pod, op, took, ending);
+        } else if !before.is_empty() {
+            self.cured -= self.cured * share;
+        } else if last_word {
+            self.blame(pod, op);
+        }
         self.note_room(pod, op, took, ending);
         self.succeeded_since_pulse += f64::from(ending == Ending::Succeeded);
         if last || answered {
@@ -277,7 +295,9 @@
         let (first, early) = (found.sent.is_empty(), self.now < found.waits);
         let held = early && found.may_have_run().is_none();
         let room = found.sent.len() < self.facts.dispatches_max && self.now < found.until;
-        let may = room && (first || early && self.may_send_again(found));
+        // A third pod is asked only where it has mostly helped, or clients' own errors would fill the fleet.
+        let hopeless = found.sent.iter().filter(|s| s.erred).count() >= 2 && self.cured < 0.5;
+        let may = room && (first || early && !hopeless && self.may_send_again(found));
         match if may { self.choose(&inv) } else { None } {
             Some(pod) => self.send(host, &inv, pod),
             None if may && held => self.waiting.push_back(inv),
@@ -386,7 +406,7 @@
 
     fn send(&mut self, host: &mut dyn Host, inv: &InvId, p: usize) {
         let found = self.invs.get_mut(inv).expect("chosen for an open invocation");
-        found.sent.push(Sent { pod: p, at: self.now, over: false, never_ran: false });
+        found.sent.push(Sent { pod: p, at: self.now, over: false, never_ran: false, erred: false });
         let (op, until) = (found.op, found.until);
         if self.pods.held[p] == 0 {
             self.pods.heard[p] = self.now;
@@ -568,9 +588,9 @@
         if let Some(n) = in_flight {
             self.pods.others[p] += ((n - self.pods.held[p] as f64).max(0.0) - self.pods.others[p]) * 0.5;
         }
-        let hit = match ending {
-            Ending::Succeeded => 0.0,
-            Ending::Error => 1.0,
+        let change = match ending {
+            Ending::Succeeded => self.pods.sick[p] / -12.0,
+            Ending::Error => 0.0,
             Ending::TimedOut if self.pods.heard[p] > at => return,
             Ending::TimedOut | Ending::NoConnection | Ending::Reset => {
                 // A process that took no connection may have died, and comes back cold before the list knows.
@@ -585,13 +605,18 @@
             _ => return,
         };
         (self.pods.strikes[p], self.pods.heard[p]) = (0, self.now);
-        self.pods.sick[p] += (hit - self.pods.sick[p]) / 12.0;
+        self.pods.sick[p] += change;
+    }
+
+    fn blame(&mut self, p: usize, op: Op) {
+        self.pods.sick[p] += (1.0 - self.pods.sick[p]) / 12.0;
+        self.note_evidence(p, op, Tenths(0), Ending::Error);
     }
 
     fn note_evidence(&mut self, p: usize, op: Op, took: Tenths, ending: Ending) {
         // Failures come in runs: what one pod does for a while after one is the same event, or a few broken
         // machines would outvote a fleet that is well.
-        let counts = matches!(ending, Ending::Succeeded | Ending::Error | Ending::TimedOut | Ending::Reset);
+        let counts = matches!(ending, Ending::Succeeded | Ending::Error | Ending::TimedOut);
         let (o, ms, age) = (op.0, took.0 as f64 / 10.0, self.now - self.pods.born[p]);
         let judged = Some(self.pods.build[p]) == self.judged;
         if !counts || judged && age < FRESH {
@@ -599,7 +624,7 @@
         }
         let (released, watching) = (self.released(), self.news().is_some());
         // Late answers and time-outs are the slow test's matter: under load they come at any build.
-        let (late, erred) = (ending == Ending::TimedOut, matches!(ending, Ending::Error | Ending::Reset));
+        let (late, erred) = (ending == Ending::TimedOut, ending == Ending::Error);
         let (warm, even) = (self.warmth(p) >= 1.0, self.cap() < 1.0);
         // Kinds of machines differ in speed, and a first stage may have got only slow ones.
         let usual = &mut self.usual[self.pods.kind[p].0 * self.facts.operations.len() + o];
--- a/crates/stagepond/src/state.rs
+++ b/crates/stagepond/src/state.rs
@@ -82,6 +82,7 @@
     pub at: Tenths,
     pub over: bool,
     pub never_ran: bool,
+    pub erred: bool,
 }
 
 pub struct Inv {
@@ -279,6 +280,8 @@
     pub(crate) usual: Vec<Usual>,
     pub(crate) erring: Vec<Erring>,
     pub(crate) flags: f64,
+    /// Share of the invocations that erred and succeeded at another pod.
+    pub(crate) cured: f64,
     pub(crate) succeeded: f64,
     pub(crate) sums: [f64; GROUNDS],
     pub(crate) mine: Said,
