--- a/crates/stagepond/src/balance.rs
+++ b/crates/stagepond/src/balance.rs
@@ -512,7 +512,7 @@
         let (n, f) = (self.two(trial, true, tried, ok), self.two(trial, false, tried, ok));
         let lead = CROSSING_LEAD * self.facts.crossing_price;
         match (n, f) {
-            (_, Some(f)) if self.rng.f64() < self.spill => Some(f),
+            (Some(n), Some(f)) if self.load(f) <= self.load(n) && self.rng.f64() < self.spill => Some(f),
             (Some(n), Some(f)) if self.load(n) > (1.0 + lead) * self.load(f) + lead => Some(f),
             (n, f) => n.or(f),
         }
