--- a/crates/stagepond/src/balance.rs
+++ b/crates/stagepond/src/balance.rs
@@ -11,6 +11,8 @@
 
 // The test, after the paper; the values are the design page's defaults unless a comment tells why not.
 const BAND: f64 = 2.0;
+// All that may lie unsent under the bands together stays near Wald's thresholds, however many sidecars.
+const BANDS_FULL: f64 = 5.0;
 const ALPHA: f64 = 0.01;
 const BETA: f64 = 0.05;
 const P0_START: f64 = 0.02;
@@ -26,16 +28,17 @@
 const SLOW_QUANTILE: f64 = 0.8;
 const SLOW_ABOVE: f64 = 0.3;
 const SLOW_WEIGHT: f64 = 0.3;
+const PAIR_SLOWER: f64 = 0.55;
 const SHARED_FROM: f64 = 0.2;
 const SHARED_A_SECOND: f64 = 2.2;
 const SHARED_WITHIN: Tenths = Tenths::ms(7000);
 const WRONG_SHARE: f64 = 0.06;
 // Under the band where little is known of false reports: one alone must not make a bit there.
 const FLAG_WEIGHT: f64 = 0.85;
-const NO_FLAG_WEIGHT: f64 = 0.5; // reports are seconds late, silence is half a finding
+const NO_FLAG_WEIGHT: f64 = 0.7; // reports are seconds late, silence is less than a finding
 
 const PULSE: Tenths = Tenths::ms(50);
-const SPEAK_EVERY: Tenths = Tenths::ms(500);
+const SPEAK_EVERY: Tenths = Tenths::ms(250);
 const STAGGER: Tenths = Tenths::ms(1500);
 const SILENT_AFTER: Tenths = Tenths::ms(2000);
 const SURE_AFTER: Tenths = Tenths::ms(700);
@@ -73,6 +76,7 @@
         let usual = |o| Usual { slow_share: 1.0 - SLOW_QUANTILE, mark_before: late(o), ..Usual::default() };
         let erring = Erring { share: P0_START, ..Erring::default() };
         Balancer {
+            band: BAND * (BANDS_FULL / facts.sidecars.max(1) as f64).min(1.0),
             room: 64.0,
             spare_sends: 5.0,
             customer_share: facts.customers.clone(),
@@ -80,9 +84,9 @@
             lanes: vec![0.0; LANES],
             usual: (0..facts.kinds.max(1)).flat_map(|_| facts.operations.iter().map(usual)).collect(),
             erring: vec![erring; ops],
-            flags: 1.0,
+            flags: 4.0,
             cured: 0.5,
-            succeeded: 250.0,
+            succeeded: 1000.0,
             mine: Said { life: rng.u16(..), ..Said::default() },
             said: vec![Said::default(); facts.sidecars],
             rng,
@@ -242,7 +246,7 @@
     pub fn peer(&mut self, host: &mut dyn Host, from: Peer, words: &[u8]) {
         self.now = host.now();
         let known = |(build, _): &(Build, Said)| self.judged == Some(*build) && from.0 < self.said.len();
-        if let Some((_, said)) = Said::decode(words, self.now).filter(known) {
+        if let Some((_, said)) = Said::decode(words).filter(known) {
             self.count_bits(from, said);
         }
         self.settle(host);
@@ -250,7 +254,10 @@
 
     pub fn objection(&mut self, host: &mut dyn Host, pod: PodId, _op: Op, since: Tenths) {
         self.now = host.now();
-        let ran = self.pods.at(pod, self.now - since).map(|p| self.pods.build[p]);
+        // Silence about a pod's first answers is no evidence, so a word against them is none either.
+        let at =
+            self.pods.at(pod, self.now - since).filter(|&p| self.now - since >= self.pods.born[p] + FRESH);
+        let ran = at.map(|p| self.pods.build[p]);
         if ran.is_some() && ran == self.judged {
             let (p0, p1) = (self.flags / self.succeeded, WRONG_SHARE * self.facts.flag_share);
             self.feed(WRONG, FLAG_WEIGHT * (p1 / p0).ln().clamp(0.5, 3.0));
@@ -322,9 +329,9 @@
         let newest = self.trial.iter().map(|&p| self.pods.born[p]).max();
         let ready = newest.filter(|&b| b >= told.from).unwrap_or(told.from + ON_WAIT);
         let sure = [ERRED, SLOW].iter().all(|g| self.totals[*g] <= -((1.0 - ALPHA) / BETA).ln());
-        let heard = self.said.iter().filter(|s| s.at.is_some_and(|at| self.now < at + SILENT_AFTER)).count();
+        let heard = self.facts.sidecars < 2 || self.now < self.heard_at + SILENT_AFTER;
         // Where the earlier pods are gone already, waiting costs nothing, and only time can tell.
-        let known = heard * 2 >= self.facts.sidecars && self.seen() >= ENOUGH_SEEN && !self.alone;
+        let known = heard && self.seen >= ENOUGH_SEEN && !self.alone;
         let early = self.facts.stage_min + SURE_AFTER;
         let wait = if sure && known { early } else { ON_WAIT.part(if known { 1.0 } else { 2.0 }) };
         let from = ready.max(self.awake_since) + wait;
@@ -340,16 +347,27 @@
         self.now >= *self.on_since.get_or_insert(self.now) + turn && self.cast(host, told, Verdict::On)
     }
 
+    /// Good and bad news at one pace, or where totals are held at their lower bound the slower kind would be
+    /// missing from each moment's sum. Without news only so much is said as mends what was lost, and all
+    /// sidecars together say no more of it than a few would.
     fn speak(&mut self, host: &mut dyn Host) -> bool {
         let Some(build) = self.judged.filter(|_| self.now >= self.speak_at) else { return false };
         self.speak_at = self.now + SPEAK_EVERY;
+        let repeat = SPEAK_EVERY.part((self.facts.sidecars as f64 / BANDS_FULL).max(1.0));
+        if self.mine.up == self.spoken.up
+            && self.mine.down == self.spoken.down
+            && self.now < self.spoken_at + repeat
+        {
+            return false;
+        }
+        (self.spoken, self.spoken_at) = (self.mine, self.now);
         if self.facts.peers && self.mine.seen > 0 {
             let words = self.mine.encode(build);
             for peer in (0..VOTERS.min(self.facts.sidecars)).filter(|&p| p != self.facts.me.0) {
                 host.tell(Some(Peer(peer)), &words);
             }
         }
-        self.count_bits(self.facts.me, Said { at: Some(self.now), ..self.mine });
+        self.count_bits(self.facts.me, self.mine);
         true
     }
 
@@ -647,7 +665,19 @@
             let weight = ratio(erred, known.clamp(P0_FLOOR, 0.9), known.clamp(P0_FLOOR, 0.9) + P1_ABOVE);
             // Beside no answers, or those of near idle pods, nothing tells a slow build from a slow hour.
             let fresh = !released && even && self.now < usual.at + SILENT_AFTER;
-            if !erred && age >= self.facts.warm_after && fresh && usual.answers >= P0_TRUSTED_AFTER {
+            let pair = std::mem::take(&mut usual.unpaired);
+            if !erred
+                && age >= self.facts.warm_after
+                && fresh
+                && usual.answers < P0_TRUSTED_AFTER
+                && pair > 0.0
+            {
+                // A sidecar that knows little holds one answer against the last of the earlier build's.
+                self.feed(
+                    SLOW,
+                    SLOW_WEIGHT * ratio(late || ms > pair, PAIR_SLOWER, PAIR_SLOWER + SLOW_ABOVE / 2.0),
+                );
+            } else if !erred && age >= self.facts.warm_after && fresh && usual.answers >= P0_TRUSTED_AFTER {
                 // What few answers tell is taken at its upper end: small sidecars know little.
                 let doubt = 0.5 / f64::from(usual.answers.min(64)).sqrt();
                 let p0 = (usual.slow_share + doubt).clamp(0.05, 0.6);
@@ -660,30 +690,28 @@
             erring.note(erred, 256.0);
             if !erred {
                 self.succeeded += 1.0;
-                usual.at = self.now;
+                (usual.at, usual.unpaired) = (self.now, ms);
                 usual.note(ms, slow, SLOW_QUANTILE, 64, 0.04);
             }
         }
     }
 
-    /// One bit for each crossing; an observation heavier than the band is entered in slices of it, or
-    /// all but the first crossing of a wrong answer would be thrown away.
+    /// One bit for each crossing; an observation heavier than the band is entered in slices that end at it, or
+    /// all but the first crossing would be thrown away.
     fn feed(&mut self, ground: usize, weight: f64) {
-        let (mut rest, sum) = (weight, &mut self.sums[ground]);
-        while rest != 0.0 {
-            let slice = rest.clamp(-BAND, BAND);
-            rest -= slice;
-            *sum += slice;
-            if sum.abs() >= BAND {
-                let side = if *sum > 0.0 { &mut self.mine.up } else { &mut self.mine.down };
-                side[ground] = side[ground].wrapping_add(1);
-                (*sum, self.speak_at) = (0.0, self.now);
-            }
-        }
+        let sum = self.sums[ground] + weight;
+        let bits = (sum / self.band).trunc();
+        self.sums[ground] = sum - bits * self.band;
+        let side = if bits > 0.0 { &mut self.mine.up } else { &mut self.mine.down };
+        side[ground] = side[ground].wrapping_add(bits.abs() as u16);
     }
 
     fn count_bits(&mut self, from: Peer, said: Said) {
-        let bits = said.since(&self.said[from.0]);
+        let (bits, seen) = said.since(&self.said[from.0]);
+        self.seen += seen;
+        if from != self.facts.me {
+            self.heard_at = self.now;
+        }
         // Held within bounds: a build that turns bad late must not have to work off all the credit of a
         // good start, and one that is good must not fall to a short run of ill luck among thousands.
         let (a, b) = (((1.0 - ALPHA) / BETA).ln(), ((1.0 - BETA) / ALPHA).ln());
@@ -691,7 +719,7 @@
             // Flags come late and few, a slow fleet is a matter of the moment: neither gathers credit.
             let floor = [-CREDIT * a, -CREDIT * a, -BAND, 0.0][g];
             let sensors = if g == SHARED { self.facts.sidecars as f64 } else { 1.0 };
-            self.totals[g] = (self.totals[g] + BAND * bits[g] / sensors).clamp(floor, b + BAND);
+            self.totals[g] = (self.totals[g] + self.band * bits[g] / sensors).clamp(floor, b + BAND);
         }
         self.said[from.0] = said;
     }
@@ -795,10 +823,9 @@
             return false;
         }
         self.ballot = Some((told.build, told.stage, verdict, self.now + self.facts.vote_wait));
-        let seen = self.seen();
         host.log(&format!(
-            "vote {verdict:?} on build {} stage {}: erred/slow/wrong/shared {:.1?}, {seen} outcomes known",
-            told.build.0, told.stage, self.totals
+            "vote {verdict:?} on build {} stage {}: erred/slow/wrong/shared {:.1?}, {} outcomes known",
+            told.build.0, told.stage, self.totals, self.seen
         ));
         host.vote(told.build, told.stage, verdict);
         true
--- a/crates/stagepond/src/state.rs
+++ b/crates/stagepond/src/state.rs
@@ -145,7 +145,6 @@
     pub up: [u16; GROUNDS],
     pub down: [u16; GROUNDS],
     pub seen: u16,
-    pub at: Option<Tenths>,
 }
 
 const SAID_FORM: u8 = 1;
@@ -156,19 +155,20 @@
         std::iter::once(SAID_FORM).chain(numbers.flat_map(u16::to_le_bytes)).collect()
     }
 
-    /// Net bits for each ground since what the same sender said before.
-    pub fn since(&self, old: &Said) -> [f64; GROUNDS] {
+    /// Net bits for each ground, and outcomes, since what the same sender said before.
+    pub fn since(&self, old: &Said) -> ([f64; GROUNDS], u32) {
         let same = old.life == self.life;
         let grown = |new: u16, old: u16| (new.wrapping_sub(if same { old } else { 0 }) as i16).max(0);
-        std::array::from_fn(|g| f64::from(grown(self.up[g], old.up[g]) - grown(self.down[g], old.down[g])))
+        let net = |g: usize| f64::from(grown(self.up[g], old.up[g]) - grown(self.down[g], old.down[g]));
+        (std::array::from_fn(net), grown(self.seen, old.seen) as u32)
     }
 
-    pub fn decode(words: &[u8], now: Tenths) -> Option<(Build, Said)> {
+    pub fn decode(words: &[u8]) -> Option<(Build, Said)> {
         let (&SAID_FORM, rest) = words.split_first()? else { return None };
         let numbers: [u8; 6 + 4 * GROUNDS] = rest.try_into().ok()?;
         let n = |i: usize| u16::from_le_bytes([numbers[2 * i], numbers[2 * i + 1]]);
         let (up, down) = (std::array::from_fn(|g| n(3 + g)), std::array::from_fn(|g| n(3 + GROUNDS + g)));
-        Some((Build(n(0)), Said { life: n(1), seen: n(2), up, down, at: Some(now) }))
+        Some((Build(n(0)), Said { life: n(1), seen: n(2), up, down }))
     }
 }
 
@@ -202,6 +202,8 @@
     pub slow_mark: f64,
     pub slow_share: f64,
     pub mark_before: f64,
+    /// The last answer, until it is compared with one of the trial's; 0 then.
+    pub unpaired: f64,
     pub at: Tenths,
 }
 
@@ -301,6 +303,12 @@
     pub(crate) ballot: Option<(Build, u32, Verdict, Tenths)>,
     pub(crate) rebuffs: u32,
     pub(crate) speak_at: Tenths,
+    pub(crate) spoken: Said,
+    pub(crate) spoken_at: Tenths,
+    pub(crate) heard_at: Tenths,
+    /// Outcomes at the build under judgement that this sidecar knows of.
+    pub(crate) seen: u32,
+    pub(crate) band: f64,
 }
 
 impl Balancer {
@@ -327,10 +335,6 @@
         op.0 * usize::from(self.facts.cap_by_operation)
     }
 
-    pub(crate) fn seen(&self) -> u32 {
-        self.said.iter().map(|s| u32::from(s.seen)).sum()
-    }
-
     /// Nothing is known yet of the build now under judgement.
     pub(crate) fn begin_judging(&mut self) {
         self.allowance.iter_mut().for_each(|a| *a = 0.0);
@@ -338,6 +342,7 @@
         (self.fleet, self.slow_spell) = ((0.0, 0.0), None);
         self.said = vec![Said::default(); self.facts.sidecars];
         self.mine = Said { life: self.mine.life, ..Said::default() };
+        (self.spoken, self.seen) = (self.mine, 0);
         self.back_since = None;
     }
 
