--- a/crates/stagepond/src/balance.rs
+++ b/crates/stagepond/src/balance.rs
@@ -53,7 +53,7 @@
 const SICK: f64 = 0.2;
 const LAST_SHARE: f64 = 0.85;
 const LOOK_EVERY: f64 = 0.2;
-const DRAWS: usize = 6;
+const DRAWS: usize = 8;
 const SPILL_A_SECOND: f64 = 0.5;
 
 type Rule = fn(&mut Balancer, &mut dyn Host) -> bool;
@@ -473,6 +473,7 @@
         self.earlier.sort_by_key(far);
         self.trial.sort_by_key(far);
         self.near = [&self.earlier, &self.trial].map(|set| set.iter().filter(|p| !far(p)).count());
+        self.measure();
     }
 
     fn trial_open(&self, op: Op) -> bool {
@@ -491,12 +492,9 @@
         let (repeat, group) = (self.facts.operations[op.0].repeat, self.facts.operations[op.0].group);
         let ran_at = found.may_have_run().filter(|_| repeat == Repeat::Fingerprinted).map(|(p, _)| p);
         let floor = found.key.and_then(|k| self.bound.get(&k).copied()).filter(|_| self.facts.one_way_keys);
-        // Past an even load trial pods would look slow for no fault of the build. At the full cap most goes
-        // to them while nothing speaks against it: what fails only when busy must show before a release.
-        let full = self.cap() >= 1.0 && self.mine.up == [0; GROUNDS];
         let chosen_key = match found.key.filter(|_| self.facts.one_way_keys) {
             Some(key) => key.lane(LANES) < self.lanes_open,
-            None => self.rng.f64() < if full { LAST_SHARE } else { self.even_share() },
+            None => self.rng.f64() < self.part,
         };
         let held_to_trial = floor.is_some_and(|b| self.on_trial(b));
         let ok = |s: &Self, p: usize| {
@@ -514,14 +512,37 @@
         }
         let earlier = self.pick(false, &tried, &ok);
         match (trial, earlier) {
-            (Some(t), Some(e)) if self.load(t) > self.load(e) * 1.3 + 0.7 => Some(e),
+            (Some(t), Some(e)) if self.load(t) > self.load(e) * 2.0 + 0.7 => Some(e),
             (t, e) => t.or(e),
         }
     }
 
-    fn even_share(&self) -> f64 {
-        let power = |set: &[usize]| set.iter().map(|&p| self.pods.weight[p] * self.warmth(p)).sum::<f64>();
-        power(&self.trial) / (power(&self.trial) + power(&self.earlier)).max(1e-9)
+    /// What the trial would carry were it released, as a share of the near traffic, or of all where none of
+    /// it is near: a zone that got few of its pods would load these far past their elders and find the
+    /// build slow; and what only fails when busy must show before a release.
+    fn trial_part(&self) -> f64 {
+        let near = self.near[1] > 0;
+        let [earlier, trial] = if near { self.near } else { [self.earlier.len(), self.trial.len()] };
+        let power = |set: &[usize]| set.iter().map(|&p| self.power(p)).sum::<f64>();
+        let before = self.calm_power[usize::from(near)];
+        let all = power(&self.earlier[..earlier]) + power(&self.trial[..trial]);
+        // What cold pods do not take yet would fall on the trial's warm ones.
+        let takes = self.trial[..trial].iter().filter(|&&p| self.bears(p)).map(|&p| self.power(p));
+        (takes.sum::<f64>() / if before > 0.0 { before } else { all }.max(1e-9)).min(LAST_SHARE)
+    }
+
+    /// Figures kept so that no dispatch has to go through the fleet.
+    fn measure(&mut self) {
+        let pods = (self.earlier.len() + self.trial.len()).max(1) as f64;
+        let all = || self.earlier.iter().chain(&self.trial);
+        let sick = all().map(|&p| self.pods.sick[p]).sum::<f64>();
+        let most = all().map(|&p| self.power(p)).fold(0.0, f64::max);
+        (self.mean_sick, self.most_power, self.rate_a_pod) = (sick / pods, most, self.rate / pods);
+        if self.trial.is_empty() {
+            let power = |set: &[usize]| set.iter().map(|&p| self.power(p)).sum::<f64>();
+            self.calm_power = [power(&self.earlier), power(&self.earlier[..self.near[0]])];
+        }
+        self.part = self.trial_part();
     }
 
     /// Two random choices by fewest in flight, near pods first; a far one only where its lead is
@@ -552,8 +573,10 @@
         let (mut best, mut found) = (None, 0);
         for _ in 0..if from.is_empty() { 0 } else { DRAWS } {
             let p = from[self.rng.usize(0..from.len())];
-            if found < 2 && well(self, p) {
-                best = best.filter(|&b| self.load(b) <= self.load(p)).or(Some(p));
+            // Drawn by power, as with one invocation in flight at most the less loaded of two is always the
+            // stronger: cold and weak pods would get nothing and the others too much.
+            if found < 2 && self.rng.f64() * self.most_power < self.power(p) && well(self, p) {
+                best = best.filter(|&b| self.queue(b) <= self.queue(p)).or(Some(p));
                 found += 1;
             }
         }
@@ -566,11 +589,19 @@
         best
     }
 
+    fn power(&self, p: usize) -> f64 {
+        self.pods.weight[p] * self.warmth(p)
+    }
+
     fn load(&self, p: usize) -> f64 {
+        self.queue(p) + 1.0 / self.power(p)
+    }
+
+    fn queue(&self, p: usize) -> f64 {
         // A report ages: a pod once found busy and avoided since would never be found idle again.
         let age = (self.now - self.pods.heard[p]).secs().max(0.0);
         let others = self.pods.others[p] / (1.0 + 6.0 * age);
-        (self.pods.held[p] as f64 + others + 1.0) / (self.pods.weight[p] * self.warmth(p))
+        (self.pods.held[p] as f64 + others) / self.power(p)
     }
 
     fn warmth(&self, p: usize) -> f64 {
@@ -647,7 +678,13 @@
         // Kinds of machines differ in speed, and a first stage may have got only slow ones.
         let usual = &mut self.usual[self.pods.kind[p].0 * self.facts.operations.len() + o];
         let erring = &mut self.erring[o];
-        let slow = late || ms > usual.slow_mark;
+        // While the trial carries its part the earlier pods carry less than before, and answer sooner.
+        let mark = if judged && self.calm_seconds > 0.0 {
+            usual.slow_mark.max(usual.mark_before)
+        } else {
+            usual.slow_mark
+        };
+        let slow = late || ms > mark;
         if age >= FRESH && !erred && (!judged || self.alone || !even) {
             let mark = if watching { usual.mark_before } else { usual.slow_mark };
             let slower = late || ms > mark;
@@ -732,6 +769,7 @@
         if self.now < self.fleet_at + Tenths::ms(1000) || self.fleet.1 < 5.0 {
             return;
         }
+        let secs = (self.now - self.fleet_at).secs().min(3.0);
         self.fleet_at = self.now;
         let (slow, all) = std::mem::take(&mut self.fleet);
         let Some(told) = self.news().filter(|t| t.phase != Phase::Withdrawn) else {
@@ -744,8 +782,8 @@
         let soon = self.now < told.from + SHARED_WITHIN;
         self.slow_spell = (side > 0.0).then(|| self.slow_spell.unwrap_or(soon));
         if side < 0.0 || self.slow_spell == Some(true) {
-            let traffic = if self.alone { 0.5 } else { self.even_share() };
-            self.feed(SHARED, side * SHARED_A_SECOND * traffic);
+            let traffic = if self.alone { 0.5 } else { self.part };
+            self.feed(SHARED, side * SHARED_A_SECOND * secs * traffic);
         }
     }
 
@@ -796,9 +834,7 @@
         let up = (self.now - self.awake_since).secs().max(1.0);
         self.rate += (self.succeeded_since_pulse / dt - self.rate) * (dt / 15.0).max(dt / up).min(1.0);
         self.succeeded_since_pulse = 0.0;
-        let pods = (self.earlier.len() + self.trial.len()).max(1) as f64;
-        let sick = self.earlier.iter().chain(&self.trial).map(|&p| self.pods.sick[p]).sum::<f64>();
-        (self.mean_sick, self.rate_a_pod) = (sick / pods, self.rate / pods);
+        self.measure();
         // Near pods may be the only slow ones: traffic has moved here, or their zone is ill. A sidecar with one
         // invocation in flight sees no lead in numbers, so it goes by time; what the far ones do brings it back.
         let gain = self.tardy[0] - self.tardy[1] - self.facts.crossing_price - 0.05;
@@ -806,7 +842,7 @@
         self.tardy[1] *= 1.0 - 0.1 * dt;
         self.weigh_fleet();
         if self.facts.one_way_keys {
-            let share = (0.8 * self.cap()).min(0.9 * self.even_share());
+            let share = (0.8 * self.cap()).min(0.9 * self.part);
             self.lanes_open = if share < 0.8 { self.lanes_within(share) } else { LANES };
             self.lanes.iter_mut().for_each(|n| *n *= 0.995);
         }
--- a/crates/stagepond/src/state.rs
+++ b/crates/stagepond/src/state.rs
@@ -249,6 +249,11 @@
     pub(crate) trial: Vec<usize>,
     /// How many of the earlier and of the trial pods are near; they come first.
     pub(crate) near: [usize; 2],
+    /// The trial's part of the traffic.
+    pub(crate) part: f64,
+    /// Power of all pods, and of the near ones, when last no build was on trial.
+    pub(crate) calm_power: [f64; 2],
+    pub(crate) most_power: f64,
     pub(crate) mean_sick: f64,
     /// Share of tardy answers, near and far.
     pub(crate) tardy: [f64; 2],
