--- a/crates/stagepond/src/balance.rs
+++ b/crates/stagepond/src/balance.rs
@@ -84,9 +84,9 @@
             lanes: vec![0.0; LANES],
             usual: (0..facts.kinds.max(1)).flat_map(|_| facts.operations.iter().map(usual)).collect(),
             erring: vec![erring; ops],
-            flags: 4.0,
+            flags: 1.0,
             cured: 0.5,
-            succeeded: 1000.0,
+            succeeded: 250.0,
             mine: Said { life: rng.u16(..), ..Said::default() },
             said: vec![Said::default(); facts.sidecars],
             rng,
@@ -524,7 +524,8 @@
         let near = self.near[1] > 0;
         let [earlier, trial] = if near { self.near } else { [self.earlier.len(), self.trial.len()] };
         let power = |set: &[usize]| set.iter().map(|&p| self.power(p)).sum::<f64>();
-        let before = self.calm_power[usize::from(near)];
+        // Near its limit a fleet gets even loads: a little more would be late there at any build.
+        let before = if self.tardy[0] < TARDY / 2.0 { self.calm_power[usize::from(near)] } else { 0.0 };
         let all = power(&self.earlier[..earlier]) + power(&self.trial[..trial]);
         // What cold pods do not take yet would fall on the trial's warm ones.
         let takes = self.trial[..trial].iter().filter(|&&p| self.bears(p)).map(|&p| self.power(p));
