--- a/crates/stagepond/src/balance.rs
+++ b/crates/stagepond/src/balance.rs
@@ -353,6 +353,7 @@
     fn speak(&mut self, host: &mut dyn Host) -> bool {
         let Some(build) = self.judged.filter(|_| self.now >= self.speak_at) else { return false };
         self.speak_at = self.now + SPEAK_EVERY;
+        self.sum_up();
         let repeat = SPEAK_EVERY.part((self.facts.sidecars as f64 / BANDS_FULL).max(1.0));
         if self.mine.up == self.spoken.up
             && self.mine.down == self.spoken.down
@@ -517,19 +518,26 @@
         }
     }
 
-    /// What the trial would carry were it released, as a share of the near traffic, or of all where none of
-    /// it is near: a zone that got few of its pods would load these far past their elders and find the
-    /// build slow; and what only fails when busy must show before a release.
+    /// What the trial would carry were it released, of all traffic and of the near: a zone that got few of its
+    /// pods would load these far past their elders and find the build slow, one that got none helps out; and
+    /// what only fails when busy must show before a release.
     fn trial_part(&self) -> f64 {
-        let near = self.near[1] > 0;
-        let [earlier, trial] = if near { self.near } else { [self.earlier.len(), self.trial.len()] };
         let power = |set: &[usize]| set.iter().map(|&p| self.power(p)).sum::<f64>();
-        // Near its limit a fleet gets even loads: a little more would be late there at any build.
-        let before = if self.tardy[0] < TARDY / 2.0 { self.calm_power[usize::from(near)] } else { 0.0 };
-        let all = power(&self.earlier[..earlier]) + power(&self.trial[..trial]);
-        // What cold pods do not take yet would fall on the trial's warm ones.
-        let takes = self.trial[..trial].iter().filter(|&&p| self.bears(p)).map(|&p| self.power(p));
-        (takes.sum::<f64>() / if before > 0.0 { before } else { all }.max(1e-9)).min(LAST_SHARE)
+        let part = |earlier: &[usize], trial: &[usize], before: f64| {
+            // What cold pods do not take yet would fall on the trial's warm ones.
+            let takes = trial.iter().filter(|&&p| self.bears(p)).map(|&p| self.power(p)).sum::<f64>();
+            // Near its limit a fleet gets even loads: a little more would be late there at any build.
+            let even = before == 0.0 || self.tardy[0] > TARDY / 2.0;
+            takes / if even { power(earlier) + power(trial) } else { before }.max(1e-9)
+        };
+        let [earlier, trial] = self.near;
+        let all = part(&self.earlier, &self.trial, self.calm_power[0]).min(LAST_SHARE);
+        let near = part(&self.earlier[..earlier], &self.trial[..trial], self.calm_power[1]);
+        if trial > 0 {
+            near.min(all)
+        } else {
+            all
+        }
     }
 
     /// Figures kept so that no dispatch has to go through the fleet.
@@ -750,16 +758,23 @@
         if from != self.facts.me {
             self.heard_at = self.now;
         }
-        // Held within bounds: a build that turns bad late must not have to work off all the credit of a
-        // good start, and one that is good must not fall to a short run of ill luck among thousands.
+        for (ground, bits) in bits.into_iter().enumerate() {
+            let sensors = if ground == SHARED { self.facts.sidecars as f64 } else { 1.0 };
+            self.gathered[ground] += self.band * bits / sensors;
+        }
+        self.said[from.0] = said;
+    }
+
+    /// Held within bounds: a build that turns bad late must not have to work off all the credit of a good
+    /// start, and one that is good must not fall to a short run of ill luck among thousands. What came in one
+    /// round is summed first: one by one, the lower bound would keep the bad of it and lose the good.
+    fn sum_up(&mut self) {
         let (a, b) = (((1.0 - ALPHA) / BETA).ln(), ((1.0 - BETA) / ALPHA).ln());
         for g in 0..GROUNDS {
             // Flags come late and few, a slow fleet is a matter of the moment: neither gathers credit.
             let floor = [-CREDIT * a, -CREDIT * a, -BAND, 0.0][g];
-            let sensors = if g == SHARED { self.facts.sidecars as f64 } else { 1.0 };
-            self.totals[g] = (self.totals[g] + self.band * bits[g] / sensors).clamp(floor, b + BAND);
+            self.totals[g] = (self.totals[g] + std::mem::take(&mut self.gathered[g])).clamp(floor, b + BAND);
         }
-        self.said[from.0] = said;
     }
 
     /// A build may slow old and new pods alike: once a second the fleet is held against the time before.
