--- a/crates/stagepond/src/balance.rs
+++ b/crates/stagepond/src/balance.rs
@@ -28,7 +28,6 @@
 const SLOW_QUANTILE: f64 = 0.8;
 const SLOW_ABOVE: f64 = 0.3;
 const SLOW_WEIGHT: f64 = 0.3;
-const PAIR_SLOWER: f64 = 0.55;
 const SHARED_FROM: f64 = 0.2;
 const SHARED_A_SECOND: f64 = 2.2;
 const SHARED_WITHIN: Tenths = Tenths::ms(7000);
@@ -85,7 +84,6 @@
             usual: (0..facts.kinds.max(1)).flat_map(|_| facts.operations.iter().map(usual)).collect(),
             erring: vec![erring; ops],
             flags: 1.0,
-            cured: 0.5,
             succeeded: 250.0,
             mine: Said { life: rng.u16(..), ..Said::default() },
             said: vec![Said::default(); facts.sidecars],
@@ -147,16 +145,12 @@
         // What errs at any pod blames neither pod nor build: an error counts once another pod has answered the
         // same invocation well, or at once where none may be asked.
         let last_word = !self.may_send_again(&self.invs[inv]) || nth + 1 >= self.facts.dispatches_max;
-        let share = 0.05 * before.len() as f64;
         if ending == Ending::Succeeded {
-            self.cured += (1.0 - self.cured) * share;
             before.iter().for_each(|&p| self.blame(p, op));
         }
         if !erred {
             self.note_evidence(pod, op, took, ending);
-        } else if !before.is_empty() {
-            self.cured -= self.cured * share;
-        } else if last_word {
+        } else if last_word && before.is_empty() {
             self.blame(pod, op);
         }
         self.note_room(pod, op, took, ending);
@@ -172,10 +166,8 @@
     pub fn aborted(&mut self, host: &mut dyn Host, inv: &InvId) {
         self.now = host.now();
         // Who leaves early waits on a pod whose time-out would tell only seconds later.
-        let left = self.invs.get(inv).filter(|i| !i.answered).and_then(|i| Some((i.op, i.sent.last()?)));
-        if let Some((op, pod, took)) = left.filter(|l| !l.1.over).map(|(op, s)| (op, s.pod, self.now - s.at))
-        {
-            self.note_room(pod, op, took, Ending::Succeeded);
+        if let Some((op, pod, at)) = self.invs.get(inv).and_then(Inv::waits_on) {
+            self.note_room(pod, op, self.now - at, Ending::Succeeded);
         }
         self.close(inv);
         self.settle(host);
@@ -255,9 +247,7 @@
     pub fn objection(&mut self, host: &mut dyn Host, pod: PodId, _op: Op, since: Tenths) {
         self.now = host.now();
         // Silence about a pod's first answers is no evidence, so a word against them is none either.
-        let at =
-            self.pods.at(pod, self.now - since).filter(|&p| self.now - since >= self.pods.born[p] + FRESH);
-        let ran = at.map(|p| self.pods.build[p]);
+        let ran = self.pods.at(pod, self.now - since - FRESH).map(|p| self.pods.build[p]);
         if ran.is_some() && ran == self.judged {
             let (p0, p1) = (self.flags / self.succeeded, WRONG_SHARE * self.facts.flag_share);
             self.feed(WRONG, FLAG_WEIGHT * (p1 / p0).ln().clamp(0.5, 3.0));
@@ -302,8 +292,8 @@
         let (first, early) = (found.sent.is_empty(), self.now < found.waits);
         let held = early && found.may_have_run().is_none();
         let room = found.sent.len() < self.facts.dispatches_max && self.now < found.until;
-        // A third pod is asked only where it has mostly helped, or clients' own errors would fill the fleet.
-        let hopeless = found.sent.iter().filter(|s| s.erred).count() >= 2 && self.cured < 0.5;
+        // A third pod would err too: the clients' own errors must not fill the fleet.
+        let hopeless = found.sent.iter().filter(|s| s.erred).count() >= 2;
         let may = room && (first || early && !hopeless && self.may_send_again(found));
         match if may { self.choose(&inv) } else { None } {
             Some(pod) => self.send(host, &inv, pod),
@@ -336,10 +326,7 @@
         let wait = if sure && known { early } else { ON_WAIT.part(if known { 1.0 } else { 2.0 }) };
         let from = ready.max(self.awake_since) + wait;
         let open = told.phase == Phase::Trial && self.slow_spell.is_none() && self.facts.votes_move;
-        // One bit of reports that none followed for 8 s is taken for false ones: where traffic is thin it
-        // would hold a good build until the next is due.
-        let lone = if self.now < from + ON_WAIT.part(2.0) { 0.0 } else { BAND };
-        let clear = open && (0..GROUNDS).all(|g| self.totals[g] <= if g == WRONG { lone } else { 0.0 });
+        let clear = open && self.totals.iter().all(|t| *t <= 0.0);
         if !clear || self.now < from {
             self.on_since = None;
             return false;
@@ -355,8 +342,7 @@
         self.speak_at = self.now + SPEAK_EVERY;
         self.sum_up();
         let repeat = SPEAK_EVERY.part((self.facts.sidecars as f64 / BANDS_FULL).max(1.0));
-        if self.mine.up == self.spoken.up
-            && self.mine.down == self.spoken.down
+        if (self.mine.up, self.mine.down) == (self.spoken.up, self.spoken.down)
             && self.now < self.spoken_at + repeat
         {
             return false;
@@ -439,17 +425,6 @@
         host.dispatch(inv, self.pods.id[p], until);
     }
 
-    fn on_trial(&self, build: Build) -> bool {
-        match self.told {
-            Some(told) => build > told.build || (build == told.build && told.phase != Phase::Released),
-            None => self.pods.all_up().any(|p| build > self.pods.build[p]),
-        }
-    }
-
-    fn cap(&self) -> f64 {
-        self.news().map_or(self.facts.first_cap, |t| t.cap)
-    }
-
     fn sort_pods(&mut self) {
         let newest = self.pods.all_up().map(|p| self.pods.build[p]).max();
         // A released build is watched on only where it was watched before.
@@ -475,6 +450,7 @@
         self.trial.sort_by_key(far);
         self.near = [&self.earlier, &self.trial].map(|set| set.iter().filter(|p| !far(p)).count());
         self.measure();
+        self.part = self.trial_part();
     }
 
     fn trial_open(&self, op: Op) -> bool {
@@ -533,25 +509,7 @@
         let [earlier, trial] = self.near;
         let all = part(&self.earlier, &self.trial, self.calm_power[0]).min(LAST_SHARE);
         let near = part(&self.earlier[..earlier], &self.trial[..trial], self.calm_power[1]);
-        if trial > 0 {
-            near.min(all)
-        } else {
-            all
-        }
-    }
-
-    /// Figures kept so that no dispatch has to go through the fleet.
-    fn measure(&mut self) {
-        let pods = (self.earlier.len() + self.trial.len()).max(1) as f64;
-        let all = || self.earlier.iter().chain(&self.trial);
-        let sick = all().map(|&p| self.pods.sick[p]).sum::<f64>();
-        let most = all().map(|&p| self.power(p)).fold(0.0, f64::max);
-        (self.mean_sick, self.most_power, self.rate_a_pod) = (sick / pods, most, self.rate / pods);
-        if self.trial.is_empty() {
-            let power = |set: &[usize]| set.iter().map(|&p| self.power(p)).sum::<f64>();
-            self.calm_power = [power(&self.earlier), power(&self.earlier[..self.near[0]])];
-        }
-        self.part = self.trial_part();
+        near.min(all).max(if trial > 0 { 0.0 } else { all })
     }
 
     /// Two random choices by fewest in flight, near pods first; a far one only where its lead is
@@ -598,10 +556,6 @@
         best
     }
 
-    fn power(&self, p: usize) -> f64 {
-        self.pods.weight[p] * self.warmth(p)
-    }
-
     fn load(&self, p: usize) -> f64 {
         self.queue(p) + 1.0 / self.power(p)
     }
@@ -613,11 +567,6 @@
         (self.pods.held[p] as f64 + others) / self.power(p)
     }
 
-    fn warmth(&self, p: usize) -> f64 {
-        let age = (self.now - self.pods.cold_at[p]).0 as f64 / self.facts.warm_after.0.max(1) as f64;
-        (self.facts.cold_share + (1.0 - self.facts.cold_share) * age.max(0.0)).min(1.0)
-    }
-
     fn cold_rate(&self, p: usize) -> f64 {
         0.6 * self.facts.fall_multiple * self.warmth(p) * self.rate_a_pod
     }
@@ -688,12 +637,8 @@
         let usual = &mut self.usual[self.pods.kind[p].0 * self.facts.operations.len() + o];
         let erring = &mut self.erring[o];
         // While the trial carries its part the earlier pods carry less than before, and answer sooner.
-        let mark = if judged && self.calm_seconds > 0.0 {
-            usual.slow_mark.max(usual.mark_before)
-        } else {
-            usual.slow_mark
-        };
-        let slow = late || ms > mark;
+        let before = if judged && self.calm_seconds > 0.0 { usual.mark_before } else { 0.0 };
+        let slow = late || ms > usual.slow_mark.max(before);
         if age >= FRESH && !erred && (!judged || self.alone || !even) {
             let mark = if watching { usual.mark_before } else { usual.slow_mark };
             let slower = late || ms > mark;
@@ -711,19 +656,7 @@
             let weight = ratio(erred, known.clamp(P0_FLOOR, 0.9), known.clamp(P0_FLOOR, 0.9) + P1_ABOVE);
             // Beside no answers, or those of near idle pods, nothing tells a slow build from a slow hour.
             let fresh = !released && even && self.now < usual.at + SILENT_AFTER;
-            let pair = std::mem::take(&mut usual.unpaired);
-            if !erred
-                && age >= self.facts.warm_after
-                && fresh
-                && usual.answers < P0_TRUSTED_AFTER
-                && pair > 0.0
-            {
-                // A sidecar that knows little holds one answer against the last of the earlier build's.
-                self.feed(
-                    SLOW,
-                    SLOW_WEIGHT * ratio(late || ms > pair, PAIR_SLOWER, PAIR_SLOWER + SLOW_ABOVE / 2.0),
-                );
-            } else if !erred && age >= self.facts.warm_after && fresh && usual.answers >= P0_TRUSTED_AFTER {
+            if !erred && age >= self.facts.warm_after && fresh && usual.answers >= P0_TRUSTED_AFTER {
                 // What few answers tell is taken at its upper end: small sidecars know little.
                 let doubt = 0.5 / f64::from(usual.answers.min(64)).sqrt();
                 let p0 = (usual.slow_share + doubt).clamp(0.05, 0.6);
@@ -736,7 +669,7 @@
             erring.note(erred, 256.0);
             if !erred {
                 self.succeeded += 1.0;
-                (usual.at, usual.unpaired) = (self.now, ms);
+                usual.at = self.now;
                 usual.note(ms, slow, SLOW_QUANTILE, 64, 0.04);
             }
         }
@@ -752,28 +685,16 @@
         side[ground] = side[ground].wrapping_add(bits.abs() as u16);
     }
 
-    fn count_bits(&mut self, from: Peer, said: Said) {
-        let (bits, seen) = said.since(&self.said[from.0]);
-        self.seen += seen;
-        if from != self.facts.me {
-            self.heard_at = self.now;
-        }
-        for (ground, bits) in bits.into_iter().enumerate() {
-            let sensors = if ground == SHARED { self.facts.sidecars as f64 } else { 1.0 };
-            self.gathered[ground] += self.band * bits / sensors;
-        }
-        self.said[from.0] = said;
-    }
-
     /// Held within bounds: a build that turns bad late must not have to work off all the credit of a good
     /// start, and one that is good must not fall to a short run of ill luck among thousands. What came in one
     /// round is summed first: one by one, the lower bound would keep the bad of it and lose the good.
     fn sum_up(&mut self) {
         let (a, b) = (((1.0 - ALPHA) / BETA).ln(), ((1.0 - BETA) / ALPHA).ln());
-        for g in 0..GROUNDS {
+        self.gathered[SHARED] /= self.facts.sidecars as f64;
+        for (g, news) in std::mem::take(&mut self.gathered).into_iter().enumerate() {
             // Flags come late and few, a slow fleet is a matter of the moment: neither gathers credit.
             let floor = [-CREDIT * a, -CREDIT * a, -BAND, 0.0][g];
-            self.totals[g] = (self.totals[g] + std::mem::take(&mut self.gathered[g])).clamp(floor, b + BAND);
+            self.totals[g] = (self.totals[g] + news).clamp(floor, b + BAND);
         }
     }
 
@@ -851,6 +772,7 @@
         self.rate += (self.succeeded_since_pulse / dt - self.rate) * (dt / 15.0).max(dt / up).min(1.0);
         self.succeeded_since_pulse = 0.0;
         self.measure();
+        self.part = self.trial_part();
         // Near pods may be the only slow ones: traffic has moved here, or their zone is ill. A sidecar with one
         // invocation in flight sees no lead in numbers, so it goes by time; what the far ones do brings it back.
         let gain = self.tardy[0] - self.tardy[1] - self.facts.crossing_price - 0.05;
--- a/crates/stagepond/src/state.rs
+++ b/crates/stagepond/src/state.rs
@@ -99,6 +99,12 @@
         self.sent.iter().filter(|s| !s.over).count()
     }
 
+    /// While the client waits: the operation, and the pod and time of a last dispatch that is still out.
+    pub fn waits_on(&self) -> Option<(Op, usize, Tenths)> {
+        let last = self.sent.last().filter(|s| !s.over && !self.answered)?;
+        Some((self.op, last.pod, last.at))
+    }
+
     /// The first dispatch that is not proven never to have run.
     pub fn may_have_run(&self) -> Option<(usize, Tenths)> {
         self.sent.iter().find(|s| !s.never_ran).map(|s| (s.pod, s.at))
@@ -202,8 +208,6 @@
     pub slow_mark: f64,
     pub slow_share: f64,
     pub mark_before: f64,
-    /// The last answer, until it is compared with one of the trial's; 0 then.
-    pub unpaired: f64,
     pub at: Tenths,
 }
 
@@ -287,8 +291,6 @@
     pub(crate) usual: Vec<Usual>,
     pub(crate) erring: Vec<Erring>,
     pub(crate) flags: f64,
-    /// Share of the invocations that erred and succeeded at another pod.
-    pub(crate) cured: f64,
     pub(crate) succeeded: f64,
     pub(crate) sums: [f64; GROUNDS],
     pub(crate) mine: Said,
@@ -361,4 +363,47 @@
         };
         self.lanes.iter().take_while(fits).count()
     }
+
+    pub(crate) fn on_trial(&self, build: Build) -> bool {
+        match self.told {
+            Some(told) => build > told.build || (build == told.build && told.phase != Phase::Released),
+            None => self.pods.all_up().any(|p| build > self.pods.build[p]),
+        }
+    }
+
+    pub(crate) fn cap(&self) -> f64 {
+        self.news().map_or(self.facts.first_cap, |t| t.cap)
+    }
+
+    /// Figures kept so that no dispatch has to go through the fleet.
+    pub(crate) fn measure(&mut self) {
+        let pods = (self.earlier.len() + self.trial.len()).max(1) as f64;
+        let all = || self.earlier.iter().chain(&self.trial);
+        let sick = all().map(|&p| self.pods.sick[p]).sum::<f64>();
+        let most = all().map(|&p| self.power(p)).fold(0.0, f64::max);
+        (self.mean_sick, self.most_power, self.rate_a_pod) = (sick / pods, most, self.rate / pods);
+        if self.trial.is_empty() {
+            let power = |set: &[usize]| set.iter().map(|&p| self.power(p)).sum::<f64>();
+            self.calm_power = [power(&self.earlier), power(&self.earlier[..self.near[0]])];
+        }
+    }
+
+    pub(crate) fn power(&self, p: usize) -> f64 {
+        self.pods.weight[p] * self.warmth(p)
+    }
+
+    pub(crate) fn warmth(&self, p: usize) -> f64 {
+        let age = (self.now - self.pods.cold_at[p]).0 as f64 / self.facts.warm_after.0.max(1) as f64;
+        (self.facts.cold_share + (1.0 - self.facts.cold_share) * age.max(0.0)).min(1.0)
+    }
+
+    pub(crate) fn count_bits(&mut self, from: Peer, said: Said) {
+        let (bits, seen) = said.since(&self.said[from.0]);
+        self.seen += seen;
+        if from != self.facts.me {
+            self.heard_at = self.now;
+        }
+        self.gathered.iter_mut().zip(bits).for_each(|(gathered, bits)| *gathered += self.band * bits);
+        self.said[from.0] = said;
+    }
 }
