--- a/crates/stagepond/src/balance.rs
+++ b/crates/stagepond/src/balance.rs
@@ -78,7 +78,6 @@
             band: BAND * (BANDS_FULL / facts.sidecars.max(1) as f64).min(1.0),
             room: 64.0,
             spare_sends: 5.0,
-            customer_share: facts.customers.clone(),
             allowance: vec![0.0; if facts.cap_by_operation { ops } else { 1 }],
             lanes: vec![0.0; LANES],
             usual: (0..facts.kinds.max(1)).flat_map(|_| facts.operations.iter().map(usual)).collect(),
@@ -98,10 +97,7 @@
         self.list_broke(host);
     }
 
-    pub fn invocation(
-        &mut self, host: &mut dyn Host, inv: InvId, key: Option<KeyId>, op: Op, until: Tenths,
-        customer: Option<Customer>,
-    ) {
+    pub fn invocation(&mut self, host: &mut dyn Host, inv: InvId, key: Option<KeyId>, op: Op, until: Tenths) {
         self.now = host.now();
         self.spare_sends = (self.spare_sends + 0.1).min(20.0);
         let (bucket, cap) = (self.bucket(op), self.cap());
@@ -109,7 +105,7 @@
         if let Some(key) = key {
             self.lanes[key.lane(LANES)] += 1.0;
         }
-        let grade = self.grade(op, customer);
+        let grade = self.grade(op);
         if self.open as f64 >= self.room * grade {
             self.fleet = (self.fleet.0 + 1.0, self.fleet.1 + 1.0);
             host.throttle(&inv, self.facts.stay_away_max);
@@ -751,17 +747,11 @@
     }
 
     /// How much of the room an invocation may use: more value for each unit of work goes further.
-    fn grade(&mut self, op: Op, customer: Option<Customer>) -> f64 {
+    fn grade(&mut self, op: Op) -> f64 {
         let work = if self.facts.value_by_work { 1.0 } else { self.usual[op.0].ms.max(1.0) };
         let density = self.facts.operations[op.0].billed_value / work;
         self.value_density += (density - self.value_density) * 0.02;
-        let grade = (density / self.value_density.max(1e-9)).sqrt().clamp(0.7, 1.3);
-        let Some(Customer(c)) = customer else { return grade };
-        for (i, share) in self.customer_share.iter_mut().enumerate() {
-            *share += (f64::from(i == c) - *share) * 0.005;
-        }
-        let beyond = self.customer_share[c] > 1.3 * self.facts.customers[c] + 0.02;
-        grade * if beyond { 0.7 } else { 1.0 }
+        (density / self.value_density.max(1e-9)).sqrt().clamp(0.7, 1.3)
     }
 
     fn pulse(&mut self) {
--- a/crates/stagepond/src/host.rs
+++ b/crates/stagepond/src/host.rs
@@ -62,10 +62,6 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Op(pub usize);
 
-/// Position in [`Facts::customers`].
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub struct Customer(pub usize);
-
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
 pub struct Zone(pub usize);
 
@@ -146,8 +142,6 @@
     pub zone: Zone,
     pub kinds: usize,
     pub operations: Vec<Operation>,
-    /// Each customer's fraction of the service.
-    pub customers: Vec<f64>,
     pub value_by_work: bool,
     pub dispatches_max: usize,
     pub second_copies: bool,
--- a/crates/stagepond/src/state.rs
+++ b/crates/stagepond/src/state.rs
@@ -278,7 +278,6 @@
     pub(crate) rate: f64,
     pub(crate) rate_a_pod: f64,
     pub(crate) spare_sends: f64,
-    pub(crate) customer_share: Vec<f64>,
     pub(crate) value_density: f64,
 
     pub(crate) told: Option<Told>,
