--- a/crates/stagepond/src/balance.rs
+++ b/crates/stagepond/src/balance.rs
@@ -38,6 +38,7 @@
 
 const PULSE: Tenths = Tenths::ms(50);
 const SPEAK_EVERY: Tenths = Tenths::ms(250);
+const STOOD_STILL: Tenths = Tenths::ms(200);
 const STAGGER: Tenths = Tenths::ms(1500);
 const SILENT_AFTER: Tenths = Tenths::ms(2000);
 const SURE_AFTER: Tenths = Tenths::ms(700);
@@ -98,7 +99,7 @@
     }
 
     pub fn invocation(&mut self, host: &mut dyn Host, inv: InvId, key: Option<KeyId>, op: Op, until: Tenths) {
-        self.now = host.now();
+        self.look_up(host);
         self.spare_sends = (self.spare_sends + 0.1).min(20.0);
         let (bucket, cap) = (self.bucket(op), self.cap());
         self.allowance[bucket] += cap;
@@ -124,7 +125,7 @@
         &mut self, host: &mut dyn Host, inv: &InvId, last: bool, nth: usize, took: Tenths, ending: Ending,
         in_flight: Option<f64>,
     ) {
-        self.now = host.now();
+        self.look_up(host);
         let Some(found) = self.invs.get_mut(inv) else { return self.settle(host) };
         let Some(sent) = found.sent.get_mut(nth).filter(|s| !s.over) else { return self.settle(host) };
         sent.over = true;
@@ -145,7 +146,9 @@
             before.iter().for_each(|&p| self.blame(p, op));
         }
         if !erred {
-            self.note_evidence(pod, op, took, ending);
+            if self.now != self.stood_still {
+                self.note_evidence(pod, op, took, ending);
+            }
         } else if last_word && before.is_empty() {
             self.blame(pod, op);
         }
@@ -160,7 +163,7 @@
     }
 
     pub fn aborted(&mut self, host: &mut dyn Host, inv: &InvId) {
-        self.now = host.now();
+        self.look_up(host);
         // Who leaves early waits on a pod whose time-out would tell only seconds later.
         if let Some((op, pod, at)) = self.invs.get(inv).and_then(Inv::waits_on) {
             self.note_room(pod, op, self.now - at, Ending::Succeeded);
@@ -189,7 +192,7 @@
     }
 
     pub fn list_ends(&mut self, host: &mut dyn Host) {
-        self.now = host.now();
+        self.look_up(host);
         self.pods.drop_unlisted();
         self.sort_pods();
         self.settle(host);
@@ -206,7 +209,7 @@
         &mut self, host: &mut dyn Host, build: Build, stage: u32, since: Tenths, phase: Phase, to_vote: bool,
         cap: f64, ending: Ending,
     ) {
-        self.now = host.now();
+        self.look_up(host);
         if let (true, Some(ballot)) = (to_vote, &mut self.ballot) {
             self.rebuffs = if ending == Ending::Succeeded { 0 } else { (self.rebuffs + 1).min(5) };
             ballot.3 = self.now
@@ -232,7 +235,7 @@
     }
 
     pub fn peer(&mut self, host: &mut dyn Host, from: Peer, words: &[u8]) {
-        self.now = host.now();
+        self.look_up(host);
         let known = |(build, _): &(Build, Said)| self.judged == Some(*build) && from.0 < self.said.len();
         if let Some((_, said)) = Said::decode(words).filter(known) {
             self.count_bits(from, said);
@@ -241,7 +244,7 @@
     }
 
     pub fn objection(&mut self, host: &mut dyn Host, pod: PodId, _op: Op, since: Tenths) {
-        self.now = host.now();
+        self.look_up(host);
         // Silence about a pod's first answers is no evidence, so a word against them is none either.
         let ran = self.pods.at(pod, self.now - since - FRESH).map(|p| self.pods.build[p]);
         if ran.is_some() && ran == self.judged {
@@ -261,8 +264,17 @@
         self.settle(host);
     }
 
-    fn settle(&mut self, host: &mut dyn Host) {
+    /// A sidecar that has stood still finds everything at once, and late by its own fault: of pods, build and
+    /// fleet that tells nothing, or it would throttle for want of room that is there.
+    fn look_up(&mut self, host: &mut dyn Host) {
         self.now = host.now();
+        if self.now > self.pulse_at + STOOD_STILL {
+            self.stood_still = self.now;
+        }
+    }
+
+    fn settle(&mut self, host: &mut dyn Host) {
+        self.look_up(host);
         if self.now >= self.pulse_at {
             self.pulse();
         }
@@ -725,6 +737,7 @@
     fn note_room(&mut self, p: usize, op: Op, took: Tenths, ending: Ending) {
         let slo = self.facts.operations[op.0].slo_time;
         let tardy = match ending {
+            _ if self.now == self.stood_still => return,
             Ending::Succeeded => took > slo.part(0.5),
             Ending::TimedOut | Ending::Full | Ending::NoConnection => true,
             _ => return,
--- a/crates/stagepond/src/state.rs
+++ b/crates/stagepond/src/state.rs
@@ -270,6 +270,8 @@
     pub(crate) due: Due,
     pub(crate) wake_at: Tenths,
     pub(crate) pulse_at: Tenths,
+    /// When this sidecar last found that it had not had its turn for a while.
+    pub(crate) stood_still: Tenths,
     pub(crate) open: usize,
     pub(crate) room: f64,
     /// Answers since the room was last set: the tardy ones, and all.
--- a/crates/stagepond/tests/stories.rs
+++ b/crates/stagepond/tests/stories.rs
@@ -299,6 +299,19 @@
     assert!(throttled > 50, "{throttled}");
 }
 
+#[rstest]
+fn a_sidecar_that_stood_still_does_not_take_its_own_lateness_for_a_full_fleet() {
+    let mut s = quiet(facts());
+    for _ in 0..60 {
+        s.pass(100);
+        let all: Vec<String> = (0..10).map(|_| s.take(FETCH)).collect();
+        s.host.now = s.host.now + Tenths::ms(900);
+        all.iter().for_each(|inv| s.end(inv, 0, 900, Ending::Succeeded));
+    }
+    let burst: Vec<String> = (0..30).map(|_| s.take(FETCH)).collect();
+    assert!(burst.iter().all(|inv| s.answers(inv).is_empty()));
+}
+
 fn run(
     s: &mut Sidecar, rounds: i64, mut ends: impl FnMut(u32, i64) -> (i64, Ending),
 ) -> Vec<(u16, u32, Verdict)> {
