--- a/crates/stagepond/src/balance.rs
+++ b/crates/stagepond/src/balance.rs
@@ -107,12 +107,14 @@
             self.lanes[key.lane(LANES)] += 1.0;
         }
         let grade = self.grade(op);
-        if self.open as f64 >= self.room * grade {
+        // A sidecar with little traffic keeps within less than one invocation by chance.
+        if self.open as f64 + self.rng.f64() >= self.room * grade {
             self.fleet = (self.fleet.0 + 1.0, self.fleet.1 + 1.0);
             host.throttle(&inv, self.facts.stay_away_max);
             return self.settle(host);
         }
         self.open += 1;
+        self.most_open = self.most_open.max(self.open);
         let waits = (self.now + self.facts.operations[op.0].slo_time.part(PATIENCE)).min(until);
         self.due.push(waits, &inv);
         self.due.push(until, &inv);
@@ -748,12 +750,13 @@
             return;
         }
         self.pace = (self.pace.0 + f64::from(tardy), self.pace.1 + 1.0);
-        if self.pace.1 < 8.0_f64.max(0.3 * self.room) {
+        if self.pace.1 < (0.3 * self.room.min(self.most_open as f64)).max(8.0) {
             return;
         }
         let (tardy, all) = std::mem::take(&mut self.pace);
+        let most_open = std::mem::take(&mut self.most_open) as f64;
         if tardy > TARDY * all {
-            self.room = (self.room * 0.93).max(3.0);
+            self.room = (self.room.min(most_open + 1.0) * 0.93).max(0.3);
         } else if self.open as f64 > self.room * 0.6 {
             self.room = self.room * 1.04 + 0.2;
         }
