--- a/crates/stagepond/src/balance.rs
+++ b/crates/stagepond/src/balance.rs
@@ -114,7 +114,7 @@
             return self.settle(host);
         }
         self.open += 1;
-        self.most_open = self.most_open.max(self.open);
+        self.most_open = self.most_open.max(self.open as f64);
         let waits = (self.now + self.facts.operations[op.0].slo_time.part(PATIENCE)).min(until);
         self.due.push(waits, &inv);
         self.due.push(until, &inv);
@@ -746,17 +746,17 @@
         };
         let far = usize::from(self.pods.zone[p] != self.facts.zone);
         self.tardy[far] += (f64::from(tardy) - self.tardy[far]) * 0.1;
-        if ending == Ending::NoConnection {
+        // What is lost on the way to a few pods is no sign of a full fleet.
+        if matches!(ending, Ending::NoConnection | Ending::TimedOut) {
             return;
         }
         self.pace = (self.pace.0 + f64::from(tardy), self.pace.1 + 1.0);
-        if self.pace.1 < (0.3 * self.room.min(self.most_open as f64)).max(8.0) {
+        if self.pace.1 < (0.3 * self.room.min(self.most_open)).max(8.0) {
             return;
         }
         let (tardy, all) = std::mem::take(&mut self.pace);
-        let most_open = std::mem::take(&mut self.most_open) as f64;
         if tardy > TARDY * all {
-            self.room = (self.room.min(most_open + 1.0) * 0.93).max(0.3);
+            self.room = (self.room.min(self.most_open + 1.0) * 0.93).max(0.3);
         } else if self.open as f64 > self.room * 0.6 {
             self.room = self.room * 1.04 + 0.2;
         }
@@ -784,6 +784,7 @@
         let gain = self.tardy[0] - self.tardy[1] - self.facts.crossing_price - 0.05;
         self.spill = (self.spill + SPILL_A_SECOND * gain * dt).clamp(0.0, 0.8);
         self.tardy[1] *= 1.0 - 0.1 * dt;
+        self.most_open *= 1.0 - 0.15 * dt;
         self.weigh_fleet();
         if self.facts.one_way_keys {
             let share = (0.8 * self.cap()).min(0.9 * self.part);
--- a/crates/stagepond/src/state.rs
+++ b/crates/stagepond/src/state.rs
@@ -273,8 +273,8 @@
     /// When this sidecar last found that it had not had its turn for a while.
     pub(crate) stood_still: Tenths,
     pub(crate) open: usize,
-    /// Since the room was last set.
-    pub(crate) most_open: usize,
+    /// Of late.
+    pub(crate) most_open: f64,
     pub(crate) room: f64,
     /// Answers since the room was last set: the tardy ones, and all.
     pub(crate) pace: (f64, f64),
--- a/crates/stagepond/tests/stories.rs
+++ b/crates/stagepond/tests/stories.rs
@@ -312,6 +312,19 @@
     assert!(burst.iter().all(|inv| s.answers(inv).is_empty()));
 }
 
+#[rstest]
+fn one_invocation_at_a_time_can_still_be_too_many() {
+    let mut s = quiet(facts());
+    let mut throttled = 0;
+    for _ in 0..200 {
+        let inv = s.take(FETCH);
+        s.pass(490);
+        throttled += s.answers(&inv).len();
+        s.end(&inv, 0, 490, Ending::Succeeded);
+    }
+    assert!(throttled > 40, "{throttled}");
+}
+
 fn run(
     s: &mut Sidecar, rounds: i64, mut ends: impl FnMut(u32, i64) -> (i64, Ending),
 ) -> Vec<(u16, u32, Verdict)> {
