--- a/crates/stagepond/src/balance.rs
+++ b/crates/stagepond/src/balance.rs
@@ -23,8 +23,7 @@
 const CREDIT: f64 = 1.5;
 const FRESH: Tenths = Tenths::ms(3000);
 const ON_WAIT: Tenths = Tenths::ms(4000);
-// An answer slower than this quantile of the earlier build's counts as slow: "late" alone never
-// blames a slow build on a quiet day. Slow answers come in runs, so each weighs less than one.
+// "Late" alone never blames a slow build on a quiet day; and slow answers come in runs.
 const SLOW_QUANTILE: f64 = 0.8;
 const SLOW_ABOVE: f64 = 0.3;
 const SLOW_WEIGHT: f64 = 0.3;
@@ -49,7 +48,6 @@
 // By how much busier a near pod must be, for each part of service that a crossing costs.
 const CROSSING_LEAD: f64 = 6.0;
 const TARDY: f64 = 0.45;
-const RUN: Tenths = Tenths::ms(1000);
 const SICK: f64 = 0.2;
 const LAST_SHARE: f64 = 0.85;
 const LOOK_EVERY: f64 = 0.2;
@@ -129,20 +127,14 @@
     ) {
         self.look_up(host);
         let Some(found) = self.invs.get_mut(inv) else { return self.settle(host) };
-        let Some(sent) = found.sent.get_mut(nth).filter(|s| !s.over) else { return self.settle(host) };
-        sent.over = true;
-        sent.never_ran = ending.proves_unrun();
-        sent.erred = matches!(ending, Ending::Error | Ending::Reset);
-        let (pod, at, op, answered, erred) = (sent.pod, sent.at, found.op, found.answered, sent.erred);
-        let before: Vec<usize> =
-            found.sent[..nth].iter().filter(|s| s.erred && s.pod != pod).map(|s| s.pod).collect();
+        let Some((pod, at, before)) = found.end(nth, ending) else { return self.settle(host) };
+        let (op, answered, erred) = (found.op, found.answered, found.sent[nth].erred);
         if let Some(key) = found.key.filter(|_| ending == Ending::Succeeded && self.facts.one_way_keys) {
             let to = self.bound.entry(key).or_insert(self.pods.build[pod]);
             *to = (*to).max(self.pods.build[pod]);
         }
         self.note_pod(pod, at, ending, in_flight);
-        // What errs at any pod blames neither pod nor build: an error counts once another pod has answered the
-        // same invocation well, or at once where none may be asked.
+        // What errs at any pod blames neither pod nor build: an error counts once another pod has done better.
         let last_word = !self.may_send_again(&self.invs[inv]) || nth + 1 >= self.facts.dispatches_max;
         if ending == Ending::Succeeded {
             before.iter().for_each(|&p| self.blame(p, op));
@@ -174,10 +166,6 @@
         self.settle(host);
     }
 
-    pub fn list_begins(&mut self, whole: bool) {
-        self.pods.listed.iter_mut().for_each(|listed| *listed = !whole);
-    }
-
     pub fn pod(
         &mut self, pod: PodId, kind: Kind, zone: Zone, availability: Availability, cell: Cell, weight: f64,
         born: Option<Tenths>, build: Build,
@@ -221,16 +209,13 @@
                 };
         }
         if ending == Ending::Succeeded {
-            // A release that leaves the traffic as it was is no new beginning for a slow spell.
-            let same = self.told.filter(|t| phase == Phase::Released && t.build == build && self.alone);
-            let from = same.map_or(self.now - since, |t| t.from);
             if matches!(phase, Phase::GoingBack | Phase::Withdrawn) {
                 self.bound.retain(|_, b| *b < build);
             }
             if self.told.is_some_and(|t| t.build == build && cap < t.cap) {
                 self.allowance.iter_mut().for_each(|a| *a = if cap > 0.0 { a.min(1.0) } else { 0.0 });
             }
-            self.told = Some(Told { build, stage, phase, cap, from });
+            self.told = Some(Told { build, stage, phase, cap, from: self.now - since });
             self.sort_pods();
         }
         self.settle(host);
@@ -266,8 +251,7 @@
         self.settle(host);
     }
 
-    /// A sidecar that has stood still finds everything at once, and late by its own fault: of pods, build and
-    /// fleet that tells nothing, or it would throttle for want of room that is there.
+    /// After standing still all is found late by one's own fault: of pods, build and fleet that tells nothing.
     fn look_up(&mut self, host: &mut dyn Host) {
         self.now = host.now();
         if self.now > self.pulse_at + STOOD_STILL {
@@ -344,9 +328,8 @@
         self.now >= *self.on_since.get_or_insert(self.now) + turn && self.cast(host, told, Verdict::On)
     }
 
-    /// Good and bad news at one pace, or where totals are held at their lower bound the slower kind would be
-    /// missing from each moment's sum. Without news only so much is said as mends what was lost, and all
-    /// sidecars together say no more of it than a few would.
+    /// Good and bad news at one pace, or at its lower bound a total would miss the slower kind. Without news
+    /// all sidecars together say only so much to mend what was lost as a few would.
     fn speak(&mut self, host: &mut dyn Host) -> bool {
         let Some(build) = self.judged.filter(|_| self.now >= self.speak_at) else { return false };
         self.speak_at = self.now + SPEAK_EVERY;
@@ -380,11 +363,7 @@
 
     fn give_up(&mut self, host: &mut dyn Host, inv: &InvId) {
         let found = &self.invs[inv];
-        let op = &self.facts.operations[found.op.0];
-        let harmless = found.may_have_run().is_none()
-            || op.repeat == Repeat::Idempotent
-            || (op.repeat == Repeat::Fingerprinted && op.group == Group::All);
-        if harmless && self.now < found.until {
+        if found.harmless(&self.facts.operations[found.op.0]) && self.now < found.until {
             host.throttle(inv, self.facts.stay_away_max);
         } else {
             host.terminate(inv);
@@ -485,12 +464,7 @@
         };
         let held_to_trial = floor.is_some_and(|b| self.on_trial(b));
         let ok = |s: &Self, p: usize| {
-            let grouped = match (group, ran_at) {
-                (Group::Zone, Some(q)) => s.pods.zone[p] == s.pods.zone[q],
-                (Group::Cell, Some(q)) => s.pods.cell[p] == s.pods.cell[q],
-                _ => true,
-            };
-            grouped && floor.is_none_or(|b| s.pods.build[p] >= b)
+            ran_at.is_none_or(|q| s.pods.grouped(group, p, q)) && floor.is_none_or(|b| s.pods.build[p] >= b)
         };
         let goes = self.trial_open(op) && (held_to_trial || first && chosen_key || self.earlier.is_empty());
         let trial = if goes { self.pick(true, &tried, &ok) } else { None };
@@ -504,9 +478,8 @@
         }
     }
 
-    /// What the trial would carry were it released, of all traffic and of the near: a zone that got few of its
-    /// pods would load these far past their elders and find the build slow, one that got none helps out; and
-    /// what only fails when busy must show before a release.
+    /// What the trial would carry were it released, as what only fails when busy must show before. A zone that
+    /// got few of its pods would load these past their elders and find the build slow; one with none helps.
     fn trial_part(&self) -> f64 {
         let power = |set: &[usize]| set.iter().map(|&p| self.power(p)).sum::<f64>();
         let part = |earlier: &[usize], trial: &[usize], before: f64| {
@@ -522,8 +495,7 @@
         near.min(all).max(if trial > 0 { 0.0 } else { all })
     }
 
-    /// Two random choices by fewest in flight, near pods first; a far one only where its lead is
-    /// enough for the crossing.
+    /// Near pods first; a far one only where its lead is worth the crossing.
     fn pick(&mut self, trial: bool, tried: &[usize], ok: &dyn Fn(&Self, usize) -> bool) -> Option<usize> {
         let (n, f) = (self.two(trial, true, tried, ok), self.two(trial, false, tried, ok));
         let lead = CROSSING_LEAD * self.facts.crossing_price;
@@ -534,8 +506,7 @@
         }
     }
 
-    /// Of a few drawn pods the first two that are well, in place of a pass over the fleet for each
-    /// dispatch; only where those drawn are all unfit are the others gone through.
+    /// Two random choices by fewest in flight; a pass over the set only where no pod drawn is well.
     fn two(
         &mut self, trial: bool, near: bool, tried: &[usize], ok: &dyn Fn(&Self, usize) -> bool,
     ) -> Option<usize> {
@@ -550,8 +521,7 @@
         let (mut best, mut found) = (None, 0);
         for _ in 0..if from.is_empty() { 0 } else { DRAWS } {
             let p = from[self.rng.usize(0..from.len())];
-            // Drawn by power, as with one invocation in flight at most the less loaded of two is always the
-            // stronger: cold and weak pods would get nothing and the others too much.
+            // Drawn by power: with nothing in flight the less loaded is always the stronger one.
             if found < 2 && self.rng.f64() * self.most_power < self.power(p) && well(self, p) {
                 best = best.filter(|&b| self.queue(b) <= self.queue(p)).or(Some(p));
                 found += 1;
@@ -586,10 +556,9 @@
         (level - self.cold_rate(p) * (self.now - at).secs()).max(0.0)
     }
 
-    /// Against pushing a cold pod over: it looks idle to every sidecar at once. Each keeps to its part
-    /// of what a warm pod usually answers well, over a long time, so that neither a burst nor what errs at any
-    /// pod counts. Where that part is less than a dispatch, chance says (in `pod`) who sends the first and
-    /// when: hundreds that each send just one are a burst too.
+    /// Against pushing a cold pod over, which looks idle to all at once: each keeps to its part of what a warm
+    /// pod usually answers well, so that bursts and errors do not count. Where that is less than a dispatch,
+    /// chance (in `pod`) says who sends the first and when: hundreds of single ones are a burst too.
     fn bears(&self, p: usize) -> bool {
         self.warmth(p) >= 1.0 || self.pressure(p) <= 0.3 * self.cold_rate(p)
     }
@@ -614,7 +583,7 @@
                 if ending != Ending::TimedOut {
                     (self.pods.cold_at[p], self.pods.pressed[p]) = (self.now, (self.rng.f64(), self.now));
                 }
-                // A pod that has gone silent would look idle once what it holds has timed out.
+                // A silent pod would look idle once what it holds has timed out.
                 self.pods.strikes[p] = (self.pods.strikes[p] + 1).min(4);
                 self.pods.shunned_till[p] = self.now + Tenths::ms(250 << self.pods.strikes[p]);
                 return;
@@ -631,8 +600,6 @@
     }
 
     fn note_evidence(&mut self, p: usize, op: Op, took: Tenths, ending: Ending) {
-        // Failures come in runs: what one pod does for a while after one is the same event, or a few broken
-        // machines would outvote a fleet that is well.
         let counts = matches!(ending, Ending::Succeeded | Ending::Error | Ending::TimedOut);
         let (o, ms, age) = (op.0, took.0 as f64 / 10.0, self.now - self.pods.born[p]);
         let judged = Some(self.pods.build[p]) == self.judged;
@@ -659,8 +626,6 @@
             // While earlier pods fail too, only what most trial pods do is the build's.
             let struck = |set: &[usize]| set.iter().filter(|p| self.pods.sick[**p] > SICK).count();
             let others = erred && !released && struck(&self.earlier) > 0;
-            let again = self.now < self.pods.blamed[p] + RUN;
-            self.pods.blamed[p] = if erred && !again { self.now } else { self.pods.blamed[p] };
             let excused = others && struck(&self.trial) * 2 <= self.trial.len().max(2);
             let known = if erring.outcomes < P0_TRUSTED_AFTER { P0_START } else { erring.share };
             let weight = ratio(erred, known.clamp(P0_FLOOR, 0.9), known.clamp(P0_FLOOR, 0.9) + P1_ABOVE);
@@ -672,7 +637,7 @@
                 let p0 = (usual.slow_share + doubt).clamp(0.05, 0.6);
                 self.feed(SLOW, SLOW_WEIGHT * ratio(slow, p0, p0 + SLOW_ABOVE));
             }
-            self.feed(ERRED, if excused || again { 0.0 } else { weight });
+            self.feed(ERRED, if excused { 0.0 } else { weight });
             let silence = if erred { 0.0 } else { NO_FLAG_WEIGHT * WRONG_SHARE * self.facts.flag_share };
             self.feed(WRONG, -silence);
         } else if warm {
@@ -685,8 +650,7 @@
         }
     }
 
-    /// One bit for each crossing; an observation heavier than the band is entered in slices that end at it, or
-    /// all but the first crossing would be thrown away.
+    /// One bit for each crossing; what is heavier than the band enters in slices that end at it: none is lost.
     fn feed(&mut self, ground: usize, weight: f64) {
         let sum = self.sums[ground] + weight;
         let bits = (sum / self.band).trunc();
@@ -695,9 +659,8 @@
         side[ground] = side[ground].wrapping_add(bits.abs() as u16);
     }
 
-    /// Held within bounds: a build that turns bad late must not have to work off all the credit of a good
-    /// start, and one that is good must not fall to a short run of ill luck among thousands. What came in one
-    /// round is summed first: one by one, the lower bound would keep the bad of it and lose the good.
+    /// Held within bounds: a build that turns bad late must not work off all the credit of a good start. What
+    /// came in one round is summed first: one by one, the lower bound would keep the bad and lose the good.
     fn sum_up(&mut self) {
         let (a, b) = (((1.0 - ALPHA) / BETA).ln(), ((1.0 - BETA) / ALPHA).ln());
         self.gathered[SHARED] /= self.facts.sidecars as f64;
@@ -708,10 +671,9 @@
         }
     }
 
-    /// A build may slow old and new pods alike: once a second the fleet is held against the time before.
-    /// What was throttled counts as slow, or the limiter would hide a slowdown by keeping answers quick. A
-    /// spell counts by the build's traffic, and only if it set in soon after the build got more of it. All
-    /// sidecars see the same fleet: their bits count as one sensor's.
+    /// A build may slow old and new pods alike: the fleet is held against the time before, and what was throttled
+    /// counts as slow, or the limiter would hide it. A spell counts by the build's traffic, and only if it set
+    /// in soon after the build got more. All see the same fleet: their bits count as one sensor's.
     fn weigh_fleet(&mut self) {
         if self.now < self.fleet_at + Tenths::ms(1000) || self.fleet.1 < 5.0 {
             return;
@@ -734,8 +696,7 @@
         }
     }
 
-    /// The room goes by how many answers take over half the SLO time, not by the late ones: a few
-    /// costly invocations are late on an idle fleet, and throttling the others would not help them.
+    /// The room goes by how many answers take half the SLO time: a few costly ones are late on an idle fleet.
     fn note_room(&mut self, p: usize, op: Op, took: Tenths, ending: Ending) {
         let slo = self.facts.operations[op.0].slo_time;
         let tardy = match ending {
@@ -779,8 +740,8 @@
         self.succeeded_since_pulse = 0.0;
         self.measure();
         self.part = self.trial_part();
-        // Near pods may be the only slow ones: traffic has moved here, or their zone is ill. A sidecar with one
-        // invocation in flight sees no lead in numbers, so it goes by time; what the far ones do brings it back.
+        // Near pods may be the only slow ones: traffic moved here, or their zone is ill. With one invocation in
+        // flight no lead is seen in numbers, so time tells.
         let gain = self.tardy[0] - self.tardy[1] - self.facts.crossing_price - 0.05;
         self.spill = (self.spill + SPILL_A_SECOND * gain * dt).clamp(0.0, 0.8);
         self.tardy[1] *= 1.0 - 0.1 * dt;
--- a/crates/stagepond/src/state.rs
+++ b/crates/stagepond/src/state.rs
@@ -27,7 +27,6 @@
     pub strikes: Vec<u32>,
     pub cold_at: Vec<Tenths>,
     pub pressed: Vec<(f64, Tenths)>,
-    pub blamed: Vec<Tenths>,
 }
 
 impl Pods {
@@ -59,7 +58,6 @@
         self.strikes.push(0);
         self.cold_at.push(born);
         self.pressed.push((0.0, born));
-        self.blamed.push(born);
         p
     }
 
@@ -71,6 +69,14 @@
         (0..self.id.len()).filter(|&p| self.up[p])
     }
 
+    pub fn grouped(&self, group: Group, p: usize, q: usize) -> bool {
+        match group {
+            Group::All => true,
+            Group::Zone => self.zone[p] == self.zone[q],
+            Group::Cell => self.cell[p] == self.cell[q],
+        }
+    }
+
     /// The machine that had this id at that time.
     pub fn at(&self, id: PodId, then: Tenths) -> Option<usize> {
         (0..self.id.len()).rev().find(|&p| self.id[p] == id && self.born[p] <= then)
@@ -99,6 +105,22 @@
         self.sent.iter().filter(|s| !s.over).count()
     }
 
+    /// Takes note of how a dispatch ended: its pod and time, and the other pods at which earlier ones erred.
+    pub fn end(&mut self, nth: usize, ending: Ending) -> Option<(usize, Tenths, Vec<usize>)> {
+        let sent = self.sent.get_mut(nth).filter(|s| !s.over)?;
+        (sent.over, sent.never_ran) = (true, ending.proves_unrun());
+        sent.erred = matches!(ending, Ending::Error | Ending::Reset);
+        let (pod, at) = (sent.pod, sent.at);
+        let before = self.sent[..nth].iter().filter(|s| s.erred && s.pod != pod).map(|s| s.pod);
+        Some((pod, at, before.collect()))
+    }
+
+    /// Whether repeating it can do no harm, as far as is known.
+    pub fn harmless(&self, op: &Operation) -> bool {
+        let dropped = op.repeat == Repeat::Fingerprinted && op.group == Group::All;
+        self.may_have_run().is_none() || op.repeat == Repeat::Idempotent || dropped
+    }
+
     /// While the client waits: the operation, and the pod and time of a last dispatch that is still out.
     pub fn waits_on(&self) -> Option<(Op, usize, Tenths)> {
         let last = self.sent.last().filter(|s| !s.over && !self.answered)?;
@@ -409,4 +431,8 @@
         self.gathered.iter_mut().zip(bits).for_each(|(gathered, bits)| *gathered += self.band * bits);
         self.said[from.0] = said;
     }
+
+    pub fn list_begins(&mut self, whole: bool) {
+        self.pods.listed.iter_mut().for_each(|listed| *listed = !whole);
+    }
 }
