--- a/crates/stagepond/src/balance.rs
+++ b/crates/stagepond/src/balance.rs
@@ -43,10 +43,8 @@
 const SURE_AFTER: Tenths = Tenths::ms(700);
 const ENOUGH_SEEN: u32 = 6;
 const LANES: usize = 64;
-// Of the SLO time: past it a held invocation is given up, and one that is out is looked at again.
-const PATIENCE: f64 = 0.5;
-// By how much busier a near pod must be, for each part of service that a crossing costs.
-const CROSSING_LEAD: f64 = 6.0;
+const PATIENCE: f64 = 0.5; // of the SLO time: then what is held is given up, what is out looked at again
+const CROSSING_LEAD: f64 = 6.0; // how much busier near pods must be, for each part that a crossing costs
 const TARDY: f64 = 0.45;
 const SICK: f64 = 0.2;
 const LAST_SHARE: f64 = 0.85;
@@ -54,6 +52,7 @@
 const DRAWS: usize = 8;
 const SPILL_A_SECOND: f64 = 0.5;
 
+type Fit<'a> = &'a dyn Fn(&Balancer, usize) -> bool;
 type Rule = fn(&mut Balancer, &mut dyn Host) -> bool;
 
 const RULES: [Rule; 6] = [
@@ -72,15 +71,13 @@
         // A sidecar that restarts amid a trial knows no time before it: slow is then what is late.
         let late = |o: &Operation| o.slo_time.0 as f64 / 10.0;
         let usual = |o| Usual { slow_share: 1.0 - SLOW_QUANTILE, mark_before: late(o), ..Usual::default() };
-        let erring = Erring { share: P0_START, ..Erring::default() };
         Balancer {
             band: BAND * (BANDS_FULL / facts.sidecars.max(1) as f64).min(1.0),
             room: 64.0,
-            spare_sends: 5.0,
             allowance: vec![0.0; if facts.cap_by_operation { ops } else { 1 }],
             lanes: vec![0.0; LANES],
             usual: (0..facts.kinds.max(1)).flat_map(|_| facts.operations.iter().map(usual)).collect(),
-            erring: vec![erring; ops],
+            erring: vec![Erring { share: P0_START }; ops],
             flags: 1.0,
             succeeded: 250.0,
             mine: Said { life: rng.u16(..), ..Said::default() },
@@ -111,13 +108,8 @@
             host.throttle(&inv, self.facts.stay_away_max);
             return self.settle(host);
         }
-        self.open += 1;
-        self.most_open = self.most_open.max(self.open as f64);
         let waits = (self.now + self.facts.operations[op.0].slo_time.part(PATIENCE)).min(until);
-        self.due.push(waits, &inv);
-        self.due.push(until, &inv);
-        self.invs.insert(inv.clone(), Inv { key, op, waits, until, sent: vec![], answered: false });
-        self.ready.push_back(inv);
+        self.hold(inv, key, op, waits, until);
         self.settle(host);
     }
 
@@ -128,13 +120,10 @@
         self.look_up(host);
         let Some(found) = self.invs.get_mut(inv) else { return self.settle(host) };
         let Some((pod, at, before)) = found.end(nth, ending) else { return self.settle(host) };
-        let (op, answered, erred) = (found.op, found.answered, found.sent[nth].erred);
-        if let Some(key) = found.key.filter(|_| ending == Ending::Succeeded && self.facts.one_way_keys) {
-            let to = self.bound.entry(key).or_insert(self.pods.build[pod]);
-            *to = (*to).max(self.pods.build[pod]);
-        }
+        let (op, answered, erred, key) = (found.op, found.answered, found.sent[nth].erred, found.key);
+        self.bind(key.filter(|_| ending == Ending::Succeeded), self.pods.build[pod]);
         self.note_pod(pod, at, ending, in_flight);
-        // What errs at any pod blames neither pod nor build: an error counts once another pod has done better.
+        // What errs at any pod blames neither pod nor build: an error counts once another pod did better.
         let last_word = !self.may_send_again(&self.invs[inv]) || nth + 1 >= self.facts.dispatches_max;
         if ending == Ending::Succeeded {
             before.iter().for_each(|&p| self.blame(p, op));
@@ -171,11 +160,7 @@
         born: Option<Tenths>, build: Build,
     ) {
         let born = born.unwrap_or(Tenths(i64::MIN / 4));
-        let known = self.pods.id.len();
-        let p = self.pods.entry(pod, kind, zone, cell, born, build);
-        if p == known {
-            self.pods.pressed[p].0 = self.rng.f64();
-        }
+        let p = self.pods.entry(pod, kind, zone, cell, born, build, self.rng.f64());
         self.pods.weight[p] = weight.max(0.01);
         self.pods.up[p] = availability == Availability::Up;
         self.pods.listed[p] = true;
@@ -251,12 +236,10 @@
         self.settle(host);
     }
 
-    /// After standing still all is found late by one's own fault: of pods, build and fleet that tells nothing.
+    /// After standing still all is late by one's own fault: of pods, build and fleet that tells nothing.
     fn look_up(&mut self, host: &mut dyn Host) {
         self.now = host.now();
-        if self.now > self.pulse_at + STOOD_STILL {
-            self.stood_still = self.now;
-        }
+        self.stood_still = if self.now > self.pulse_at + STOOD_STILL { self.now } else { self.stood_still };
     }
 
     fn settle(&mut self, host: &mut dyn Host) {
@@ -299,8 +282,8 @@
 
     fn vote_back(&mut self, host: &mut dyn Host) -> bool {
         let Some((turn, told)) = self.voting() else { return false };
-        let limit = ((1.0 - BETA) / ALPHA).ln();
-        if !self.totals.iter().any(|t| *t >= limit) || !matches!(told.phase, Phase::Trial | Phase::Released) {
+        let proven = self.totals.iter().any(|t| *t >= ((1.0 - BETA) / ALPHA).ln());
+        if !proven || !matches!(told.phase, Phase::Trial | Phase::Released) {
             self.back_since = None;
             return false;
         }
@@ -316,8 +299,8 @@
         let heard = self.facts.sidecars < 2 || self.now < self.heard_at + SILENT_AFTER;
         // Where the earlier pods are gone already, waiting costs nothing, and only time can tell.
         let known = heard && self.seen >= ENOUGH_SEEN && !self.alone;
-        let early = self.facts.stage_min + SURE_AFTER;
-        let wait = if sure && known { early } else { ON_WAIT.part(if known { 1.0 } else { 2.0 }) };
+        let late = ON_WAIT.part(if known { 1.0 } else { 2.0 });
+        let wait = if sure && known { self.facts.stage_min + SURE_AFTER } else { late };
         let from = ready.max(self.awake_since) + wait;
         let open = told.phase == Phase::Trial && self.slow_spell.is_none() && self.facts.votes_move;
         let clear = open && self.totals.iter().all(|t| *t <= 0.0);
@@ -335,9 +318,7 @@
         self.speak_at = self.now + SPEAK_EVERY;
         self.sum_up();
         let repeat = SPEAK_EVERY.part((self.facts.sidecars as f64 / BANDS_FULL).max(1.0));
-        if (self.mine.up, self.mine.down) == (self.spoken.up, self.spoken.down)
-            && self.now < self.spoken_at + repeat
-        {
+        if self.mine.says_the_same(&self.spoken) && self.now < self.spoken_at + repeat {
             return false;
         }
         (self.spoken, self.spoken_at) = (self.mine, self.now);
@@ -352,13 +333,7 @@
     }
 
     fn keep_awake(&mut self, host: &mut dyn Host) -> bool {
-        let next = self.due.next().min(self.pulse_at).max(self.now + Tenths(1));
-        let sooner = self.wake_at <= self.now || self.wake_at > next;
-        if sooner {
-            self.wake_at = next;
-            host.wake_in(next - self.now, 0);
-        }
-        sooner
+        self.next_wake().map(|delay| host.wake_in(delay, 0)).is_some()
     }
 
     fn give_up(&mut self, host: &mut dyn Host, inv: &InvId) {
@@ -385,8 +360,11 @@
         let found = &self.invs[inv];
         let Some(nth) = found.sent.iter().position(|s| !s.over) else { return };
         let stuck = self.stuck(found.sent[nth].pod);
-        let room = found.sent.len() < self.facts.dispatches_max;
-        if !stuck || !room || self.spare_sends < 1.0 || !self.may_send_again(found) {
+        if !stuck
+            || found.sent.len() >= self.facts.dispatches_max
+            || self.spare_sends < 1.0
+            || !self.may_send_again(found)
+        {
             let later = self.now + self.facts.operations[found.op.0].slo_time.part(LOOK_EVERY);
             return self.due.push(later, inv);
         }
@@ -399,13 +377,7 @@
     }
 
     fn send(&mut self, host: &mut dyn Host, inv: &InvId, p: usize) {
-        let found = self.invs.get_mut(inv).expect("chosen for an open invocation");
-        found.sent.push(Sent { pod: p, at: self.now, over: false, never_ran: false, erred: false });
-        let (op, until) = (found.op, found.until);
-        if self.pods.held[p] == 0 {
-            self.pods.heard[p] = self.now;
-        }
-        self.pods.held[p] += 1;
+        let (op, until) = self.note_sent(inv, p);
         self.pods.pressed[p] = (self.pressure(p) + 1.0, self.now);
         if self.on_trial(self.pods.build[p]) {
             let bucket = self.bucket(op);
@@ -434,10 +406,7 @@
         if self.earlier.iter().filter(|p| newest(p)).count() * 2 >= self.earlier.len() {
             self.earlier.retain(newest);
         }
-        let far = |p: &usize| self.pods.zone[*p] != self.facts.zone;
-        self.earlier.sort_by_key(far);
-        self.trial.sort_by_key(far);
-        self.near = [&self.earlier, &self.trial].map(|set| set.iter().filter(|p| !far(p)).count());
+        self.near_first();
         self.measure();
         self.part = self.trial_part();
     }
@@ -468,18 +437,15 @@
         };
         let goes = self.trial_open(op) && (held_to_trial || first && chosen_key || self.earlier.is_empty());
         let trial = if goes { self.pick(true, &tried, &ok) } else { None };
-        if held_to_trial {
-            return trial;
-        }
-        let earlier = self.pick(false, &tried, &ok);
+        let earlier = if held_to_trial { None } else { self.pick(false, &tried, &ok) };
         match (trial, earlier) {
             (Some(t), Some(e)) if self.load(t) > self.load(e) * 2.0 + 0.7 => Some(e),
             (t, e) => t.or(e),
         }
     }
 
-    /// What the trial would carry were it released, as what only fails when busy must show before. A zone that
-    /// got few of its pods would load these past their elders and find the build slow; one with none helps.
+    /// What the trial would carry were it released, as what only fails when busy must show before. A zone
+    /// goes by its own pods, or with few of them it would find the build slow; one with none helps out.
     fn trial_part(&self) -> f64 {
         let power = |set: &[usize]| set.iter().map(|&p| self.power(p)).sum::<f64>();
         let part = |earlier: &[usize], trial: &[usize], before: f64| {
@@ -496,7 +462,7 @@
     }
 
     /// Near pods first; a far one only where its lead is worth the crossing.
-    fn pick(&mut self, trial: bool, tried: &[usize], ok: &dyn Fn(&Self, usize) -> bool) -> Option<usize> {
+    fn pick(&mut self, trial: bool, tried: &[usize], ok: Fit) -> Option<usize> {
         let (n, f) = (self.two(trial, true, tried, ok), self.two(trial, false, tried, ok));
         let lead = CROSSING_LEAD * self.facts.crossing_price;
         match (n, f) {
@@ -507,10 +473,8 @@
     }
 
     /// Two random choices by fewest in flight; a pass over the set only where no pod drawn is well.
-    fn two(
-        &mut self, trial: bool, near: bool, tried: &[usize], ok: &dyn Fn(&Self, usize) -> bool,
-    ) -> Option<usize> {
-        let set = std::mem::take(if trial { &mut self.trial } else { &mut self.earlier });
+    fn two(&mut self, trial: bool, near: bool, tried: &[usize], ok: Fit) -> Option<usize> {
+        let (set, mut rng) = (if trial { &self.trial } else { &self.earlier }, self.rng.clone());
         let (here, there) = set.split_at(self.near[usize::from(trial)]);
         let from = if near { here } else { there };
         let fit = |s: &Self, p: usize| ok(s, p) && s.bears(p);
@@ -520,19 +484,19 @@
         };
         let (mut best, mut found) = (None, 0);
         for _ in 0..if from.is_empty() { 0 } else { DRAWS } {
-            let p = from[self.rng.usize(0..from.len())];
+            let p = from[rng.usize(0..from.len())];
             // Drawn by power: with nothing in flight the less loaded is always the stronger one.
-            if found < 2 && self.rng.f64() * self.most_power < self.power(p) && well(self, p) {
+            if found < 2 && rng.f64() * self.most_power < self.power(p) && well(self, p) {
                 best = best.filter(|&b| self.queue(b) <= self.queue(p)).or(Some(p));
                 found += 1;
             }
         }
         if found == 0 {
-            let from_here = self.rng.usize(0..from.len().max(1));
+            let from_here = rng.usize(0..from.len().max(1));
             let turned = || from[from_here..].iter().chain(&from[..from_here]).copied();
             best = turned().find(|&p| well(self, p)).or_else(|| turned().find(|&p| fit(self, p)));
         }
-        *(if trial { &mut self.trial } else { &mut self.earlier }) = set;
+        self.rng = rng;
         best
     }
 
@@ -556,8 +520,8 @@
         (level - self.cold_rate(p) * (self.now - at).secs()).max(0.0)
     }
 
-    /// Against pushing a cold pod over, which looks idle to all at once: each keeps to its part of what a warm
-    /// pod usually answers well, so that bursts and errors do not count. Where that is less than a dispatch,
+    /// Against pushing a cold pod over, which looks idle to all: each keeps to its part of what a warm pod
+    /// usually answers well, so that bursts and errors do not count. Where that is less than a dispatch,
     /// chance (in `pod`) says who sends the first and when: hundreds of single ones are a burst too.
     fn bears(&self, p: usize) -> bool {
         self.warmth(p) >= 1.0 || self.pressure(p) <= 0.3 * self.cold_rate(p)
@@ -574,10 +538,12 @@
         if let Some(n) = in_flight {
             self.pods.others[p] += ((n - self.pods.held[p] as f64).max(0.0) - self.pods.others[p]) * 0.5;
         }
-        let change = match ending {
-            Ending::Succeeded => self.pods.sick[p] / -12.0,
-            Ending::Error => 0.0,
-            Ending::TimedOut if self.pods.heard[p] > at => return,
+        match ending {
+            Ending::Succeeded | Ending::Error => {
+                (self.pods.strikes[p], self.pods.heard[p]) = (0, self.now);
+                self.pods.sick[p] *= if ending == Ending::Error { 1.0 } else { 11.0 / 12.0 };
+            }
+            Ending::TimedOut if self.pods.heard[p] > at => {}
             Ending::TimedOut | Ending::NoConnection | Ending::Reset => {
                 // A process that took no connection may have died, and comes back cold before the list knows.
                 if ending != Ending::TimedOut {
@@ -586,12 +552,9 @@
                 // A silent pod would look idle once what it holds has timed out.
                 self.pods.strikes[p] = (self.pods.strikes[p] + 1).min(4);
                 self.pods.shunned_till[p] = self.now + Tenths::ms(250 << self.pods.strikes[p]);
-                return;
             }
-            _ => return,
-        };
-        (self.pods.strikes[p], self.pods.heard[p]) = (0, self.now);
-        self.pods.sick[p] += change;
+            _ => {}
+        }
     }
 
     fn blame(&mut self, p: usize, op: Op) {
@@ -608,18 +571,16 @@
         }
         let (released, watching) = (self.released(), self.news().is_some());
         // Late answers and time-outs are the slow test's matter: under load they come at any build.
-        let (late, erred) = (ending == Ending::TimedOut, ending == Ending::Error);
-        let (warm, even) = (self.warmth(p) >= 1.0, self.cap() < 1.0);
+        let (late, erred, even) = (ending == Ending::TimedOut, ending == Ending::Error, self.cap() < 1.0);
         // Kinds of machines differ in speed, and a first stage may have got only slow ones.
         let usual = &mut self.usual[self.pods.kind[p].0 * self.facts.operations.len() + o];
         let erring = &mut self.erring[o];
         // While the trial carries its part the earlier pods carry less than before, and answer sooner.
-        let before = if judged && self.calm_seconds > 0.0 { usual.mark_before } else { 0.0 };
-        let slow = late || ms > usual.slow_mark.max(before);
+        let before = judged && self.calm_seconds > 0.0;
+        let slow = late || ms > usual.slow_mark.max(if before { usual.mark_before } else { 0.0 });
         if age >= FRESH && !erred && (!judged || self.alone || !even) {
             let mark = if watching { usual.mark_before } else { usual.slow_mark };
-            let slower = late || ms > mark;
-            self.fleet = (self.fleet.0 + f64::from(slower), self.fleet.1 + 1.0);
+            self.fleet = (self.fleet.0 + f64::from(late || ms > mark), self.fleet.1 + 1.0);
         }
         if judged {
             self.mine.seen = self.mine.seen.saturating_add(1);
@@ -627,8 +588,8 @@
             let struck = |set: &[usize]| set.iter().filter(|p| self.pods.sick[**p] > SICK).count();
             let others = erred && !released && struck(&self.earlier) > 0;
             let excused = others && struck(&self.trial) * 2 <= self.trial.len().max(2);
-            let known = if erring.outcomes < P0_TRUSTED_AFTER { P0_START } else { erring.share };
-            let weight = ratio(erred, known.clamp(P0_FLOOR, 0.9), known.clamp(P0_FLOOR, 0.9) + P1_ABOVE);
+            let known = erring.share.clamp(P0_FLOOR, 0.9);
+            let weight = if excused { 0.0 } else { ratio(erred, known, known + P1_ABOVE) };
             // Beside no answers, or those of near idle pods, nothing tells a slow build from a slow hour.
             let fresh = !released && even && self.now < usual.at + SILENT_AFTER;
             if !erred && age >= self.facts.warm_after && fresh && usual.answers >= P0_TRUSTED_AFTER {
@@ -637,10 +598,10 @@
                 let p0 = (usual.slow_share + doubt).clamp(0.05, 0.6);
                 self.feed(SLOW, SLOW_WEIGHT * ratio(slow, p0, p0 + SLOW_ABOVE));
             }
-            self.feed(ERRED, if excused { 0.0 } else { weight });
+            self.feed(ERRED, weight);
             let silence = if erred { 0.0 } else { NO_FLAG_WEIGHT * WRONG_SHARE * self.facts.flag_share };
             self.feed(WRONG, -silence);
-        } else if warm {
+        } else if age >= self.facts.warm_after {
             erring.note(erred, 256.0);
             if !erred {
                 self.succeeded += 1.0;
@@ -650,7 +611,7 @@
         }
     }
 
-    /// One bit for each crossing; what is heavier than the band enters in slices that end at it: none is lost.
+    /// One bit for each crossing; what is heavier than the band enters in slices that end at it.
     fn feed(&mut self, ground: usize, weight: f64) {
         let sum = self.sums[ground] + weight;
         let bits = (sum / self.band).trunc();
@@ -671,9 +632,9 @@
         }
     }
 
-    /// A build may slow old and new pods alike: the fleet is held against the time before, and what was throttled
-    /// counts as slow, or the limiter would hide it. A spell counts by the build's traffic, and only if it set
-    /// in soon after the build got more. All see the same fleet: their bits count as one sensor's.
+    /// A build may slow old and new pods alike: the fleet is held against the time before; the throttled
+    /// count as slow, or the limiter would hide it. A spell counts by the build's traffic, and only if it set
+    /// in soon after the build got more.
     fn weigh_fleet(&mut self) {
         if self.now < self.fleet_at + Tenths::ms(1000) || self.fleet.1 < 5.0 {
             return;
@@ -708,10 +669,8 @@
         let far = usize::from(self.pods.zone[p] != self.facts.zone);
         self.tardy[far] += (f64::from(tardy) - self.tardy[far]) * 0.1;
         // What is lost on the way to a few pods is no sign of a full fleet.
-        if matches!(ending, Ending::NoConnection | Ending::TimedOut) {
-            return;
-        }
-        self.pace = (self.pace.0 + f64::from(tardy), self.pace.1 + 1.0);
+        let counts = f64::from(matches!(ending, Ending::Succeeded | Ending::Full));
+        self.pace = (self.pace.0 + counts * f64::from(tardy), self.pace.1 + counts);
         if self.pace.1 < (0.3 * self.room.min(self.most_open)).max(8.0) {
             return;
         }
@@ -740,8 +699,8 @@
         self.succeeded_since_pulse = 0.0;
         self.measure();
         self.part = self.trial_part();
-        // Near pods may be the only slow ones: traffic moved here, or their zone is ill. With one invocation in
-        // flight no lead is seen in numbers, so time tells.
+        // Only near pods may be slow: traffic moved here, or their zone is ill. Small sidecars see no lead in
+        // numbers, so time tells.
         let gain = self.tardy[0] - self.tardy[1] - self.facts.crossing_price - 0.05;
         self.spill = (self.spill + SPILL_A_SECOND * gain * dt).clamp(0.0, 0.8);
         self.tardy[1] *= 1.0 - 0.1 * dt;
--- a/crates/stagepond/src/state.rs
+++ b/crates/stagepond/src/state.rs
@@ -30,8 +30,9 @@
 }
 
 impl Pods {
+    #[allow(clippy::too_many_arguments)]
     pub fn entry(
-        &mut self, id: PodId, kind: Kind, zone: Zone, cell: Cell, born: Tenths, build: Build,
+        &mut self, id: PodId, kind: Kind, zone: Zone, cell: Cell, born: Tenths, build: Build, pressed: f64,
     ) -> usize {
         if let Some(&old) = self.index.get(&id) {
             if (self.born[old], self.build[old]) == (born, build) {
@@ -57,7 +58,7 @@
         self.shunned_till.push(Tenths(0));
         self.strikes.push(0);
         self.cold_at.push(born);
-        self.pressed.push((0.0, born));
+        self.pressed.push((pressed, born));
         p
     }
 
@@ -178,6 +179,10 @@
 const SAID_FORM: u8 = 1;
 
 impl Said {
+    pub fn says_the_same(&self, as_this: &Said) -> bool {
+        (self.up, self.down) == (as_this.up, as_this.down)
+    }
+
     pub fn encode(&self, build: Build) -> Vec<u8> {
         let numbers = [build.0, self.life, self.seen].into_iter().chain(self.up).chain(self.down);
         std::iter::once(SAID_FORM).chain(numbers.flat_map(u16::to_le_bytes)).collect()
@@ -251,13 +256,11 @@
 /// Share of the earlier build's outcomes of one operation that count as failures.
 #[derive(Clone, Default)]
 pub struct Erring {
-    pub outcomes: u32,
     pub share: f64,
 }
 
 impl Erring {
     pub fn note(&mut self, erred: bool, memory: f64) {
-        self.outcomes += 1;
         self.share += (f64::from(erred) - self.share) / memory;
     }
 }
@@ -435,4 +438,46 @@
     pub fn list_begins(&mut self, whole: bool) {
         self.pods.listed.iter_mut().for_each(|listed| *listed = !whole);
     }
+
+    /// How long until something is due, where no wake is set for then yet.
+    pub(crate) fn next_wake(&mut self) -> Option<Tenths> {
+        let next = self.due.next().min(self.pulse_at).max(self.now + Tenths(1));
+        let sooner = self.wake_at <= self.now || self.wake_at > next;
+        self.wake_at = if sooner { next } else { self.wake_at };
+        sooner.then_some(next - self.now)
+    }
+
+    pub(crate) fn near_first(&mut self) {
+        let far = |p: &usize| self.pods.zone[*p] != self.facts.zone;
+        self.earlier.sort_by_key(far);
+        self.trial.sort_by_key(far);
+        self.near = [&self.earlier, &self.trial].map(|set| set.iter().filter(|p| !far(p)).count());
+    }
+
+    pub(crate) fn hold(&mut self, inv: InvId, key: Option<KeyId>, op: Op, waits: Tenths, until: Tenths) {
+        self.open += 1;
+        self.most_open = self.most_open.max(self.open as f64);
+        self.due.push(waits, &inv);
+        self.due.push(until, &inv);
+        self.invs.insert(inv.clone(), Inv { key, op, waits, until, sent: vec![], answered: false });
+        self.ready.push_back(inv);
+    }
+
+    pub(crate) fn bind(&mut self, key: Option<KeyId>, build: Build) {
+        if let Some(key) = key.filter(|_| self.facts.one_way_keys) {
+            let to = self.bound.entry(key).or_insert(build);
+            *to = (*to).max(build);
+        }
+    }
+
+    /// Takes note of a dispatch; its operation and time limit.
+    pub(crate) fn note_sent(&mut self, inv: &InvId, p: usize) -> (Op, Tenths) {
+        if self.pods.held[p] == 0 {
+            self.pods.heard[p] = self.now;
+        }
+        self.pods.held[p] += 1;
+        let found = self.invs.get_mut(inv).expect("chosen for an open invocation");
+        found.sent.push(Sent { pod: p, at: self.now, over: false, never_ran: false, erred: false });
+        (found.op, found.until)
+    }
 }
