--- a/crates/stagepond/src/balance.rs
+++ b/crates/stagepond/src/balance.rs
@@ -47,6 +47,7 @@
 const CROSSING_LEAD: f64 = 6.0; // how much busier near pods must be, for each part that a crossing costs
 const TARDY: f64 = 0.45;
 const SICK: f64 = 0.2;
+const SICK_SECONDS: f64 = 3.0;
 const LAST_SHARE: f64 = 0.85;
 const LOOK_EVERY: f64 = 0.2;
 const DRAWS: usize = 8;
@@ -122,7 +123,7 @@
         let Some((pod, at, before)) = found.end(nth, ending) else { return self.settle(host) };
         let (op, answered, erred, key) = (found.op, found.answered, found.sent[nth].erred, found.key);
         self.bind(key.filter(|_| ending == Ending::Succeeded), self.pods.build[pod]);
-        self.note_pod(pod, at, ending, in_flight);
+        self.note_pod(pod, at, ending, in_flight, took > self.facts.operations[op.0].slo_time.part(0.5));
         // What errs at any pod blames neither pod nor build: an error counts once another pod did better.
         let last_word = !self.may_send_again(&self.invs[inv]) || nth + 1 >= self.facts.dispatches_max;
         if ending == Ending::Succeeded {
@@ -533,16 +534,17 @@
         self.pods.held[p] >= 2 && self.now - self.pods.heard[p] > patience
     }
 
-    fn note_pod(&mut self, p: usize, at: Tenths, ending: Ending, in_flight: Option<f64>) {
+    fn note_pod(&mut self, p: usize, at: Tenths, ending: Ending, in_flight: Option<f64>, tardy: bool) {
         self.pods.held[p] = self.pods.held[p].saturating_sub(1);
         if let Some(n) = in_flight {
             self.pods.others[p] += ((n - self.pods.held[p] as f64).max(0.0) - self.pods.others[p]) * 0.5;
         }
+        // A pod may be ill for this sidecar alone: then others are as they were and the mean stays low.
+        if matches!(ending, Ending::Succeeded | Ending::TimedOut) && self.now != self.stood_still {
+            self.pods.sick[p] += (f64::from(tardy) - self.pods.sick[p]) / self.memory();
+        }
         match ending {
-            Ending::Succeeded | Ending::Error => {
-                (self.pods.strikes[p], self.pods.heard[p]) = (0, self.now);
-                self.pods.sick[p] *= if ending == Ending::Error { 1.0 } else { 11.0 / 12.0 };
-            }
+            Ending::Succeeded | Ending::Error => (self.pods.strikes[p], self.pods.heard[p]) = (0, self.now),
             Ending::TimedOut if self.pods.heard[p] > at => {}
             Ending::TimedOut | Ending::NoConnection | Ending::Reset => {
                 // A process that took no connection may have died, and comes back cold before the list knows.
@@ -557,8 +559,13 @@
         }
     }
 
+    /// Who seldom meets a pod must learn from less, or would not know it before the trouble is over.
+    fn memory(&self) -> f64 {
+        (SICK_SECONDS * self.rate_a_pod).clamp(4.0, 12.0)
+    }
+
     fn blame(&mut self, p: usize, op: Op) {
-        self.pods.sick[p] += (1.0 - self.pods.sick[p]) / 12.0;
+        self.pods.sick[p] += (1.0 - self.pods.sick[p]) / self.memory();
         self.note_evidence(p, op, Tenths(0), Ending::Error);
     }
 
@@ -704,6 +711,8 @@
         let gain = self.tardy[0] - self.tardy[1] - self.facts.crossing_price - 0.05;
         self.spill = (self.spill + SPILL_A_SECOND * gain * dt).clamp(0.0, 0.8);
         self.tardy[1] *= 1.0 - 0.1 * dt;
+        let fade = 1.0 - 0.2 * dt * self.rate_a_pod / self.memory();
+        self.pods.sick.iter_mut().for_each(|sick| *sick *= fade);
         self.most_open *= 1.0 - 0.15 * dt;
         self.weigh_fleet();
         if self.facts.one_way_keys {
