--- a/crates/stagepond/src/balance.rs
+++ b/crates/stagepond/src/balance.rs
@@ -47,7 +47,7 @@
 const CROSSING_LEAD: f64 = 6.0; // how much busier near pods must be, for each part that a crossing costs
 const TARDY: f64 = 0.45;
 const SICK: f64 = 0.2;
-const SICK_SECONDS: f64 = 3.0;
+const LAME_SECONDS: f64 = 6.0;
 const LAST_SHARE: f64 = 0.85;
 const LOOK_EVERY: f64 = 0.2;
 const DRAWS: usize = 8;
@@ -481,7 +481,8 @@
         let fit = |s: &Self, p: usize| ok(s, p) && s.bears(p);
         let well = |s: &Self, p: usize| {
             let answers = s.now >= s.pods.shunned_till[p] && !s.stuck(p);
-            answers && !tried.contains(&p) && s.pods.sick[p] <= s.mean_sick + SICK && fit(s, p)
+            let as_others = s.pods.sick[p] <= s.mean_sick + SICK && s.pods.lame[p] <= s.mean_lame + SICK;
+            answers && as_others && !tried.contains(&p) && fit(s, p)
         };
         let (mut best, mut found) = (None, 0);
         for _ in 0..if from.is_empty() { 0 } else { DRAWS } {
@@ -539,12 +540,15 @@
         if let Some(n) = in_flight {
             self.pods.others[p] += ((n - self.pods.held[p] as f64).max(0.0) - self.pods.others[p]) * 0.5;
         }
-        // A pod may be ill for this sidecar alone: then others are as they were and the mean stays low.
+        // A pod may be ill for this sidecar alone; where no others are well, it is the fleet that is full.
         if matches!(ending, Ending::Succeeded | Ending::TimedOut) && self.now != self.stood_still {
-            self.pods.sick[p] += (f64::from(tardy) - self.pods.sick[p]) / self.memory();
+            self.pods.lame[p] += (f64::from(tardy && self.some_well) - self.pods.lame[p]) / self.memory();
         }
         match ending {
-            Ending::Succeeded | Ending::Error => (self.pods.strikes[p], self.pods.heard[p]) = (0, self.now),
+            Ending::Succeeded | Ending::Error => {
+                (self.pods.strikes[p], self.pods.heard[p]) = (0, self.now);
+                self.pods.sick[p] *= if ending == Ending::Error { 1.0 } else { 11.0 / 12.0 };
+            }
             Ending::TimedOut if self.pods.heard[p] > at => {}
             Ending::TimedOut | Ending::NoConnection | Ending::Reset => {
                 // A process that took no connection may have died, and comes back cold before the list knows.
@@ -561,11 +565,11 @@
 
     /// Who seldom meets a pod must learn from less, or would not know it before the trouble is over.
     fn memory(&self) -> f64 {
-        (SICK_SECONDS * self.rate_a_pod).clamp(4.0, 12.0)
+        (LAME_SECONDS * self.rate_a_pod).clamp(4.0, 40.0)
     }
 
     fn blame(&mut self, p: usize, op: Op) {
-        self.pods.sick[p] += (1.0 - self.pods.sick[p]) / self.memory();
+        self.pods.sick[p] += (1.0 - self.pods.sick[p]) / 12.0;
         self.note_evidence(p, op, Tenths(0), Ending::Error);
     }
 
@@ -597,8 +601,10 @@
             let excused = others && struck(&self.trial) * 2 <= self.trial.len().max(2);
             let known = erring.share.clamp(P0_FLOOR, 0.9);
             let weight = if excused { 0.0 } else { ratio(erred, known, known + P1_ABOVE) };
-            // Beside no answers, or those of near idle pods, nothing tells a slow build from a slow hour.
-            let fresh = !released && even && self.now < usual.at + SILENT_AFTER;
+            // Beside no answers, or those of near idle pods, nothing tells a slow build from a slow hour; near
+            // the fleet's limit a little more load does as much as a slow build.
+            let eased = self.tardy[0] < TARDY / 2.0;
+            let fresh = !released && even && eased && self.now < usual.at + SILENT_AFTER;
             if !erred && age >= self.facts.warm_after && fresh && usual.answers >= P0_TRUSTED_AFTER {
                 // What few answers tell is taken at its upper end: small sidecars know little.
                 let doubt = 0.5 / f64::from(usual.answers.min(64)).sqrt();
@@ -711,8 +717,10 @@
         let gain = self.tardy[0] - self.tardy[1] - self.facts.crossing_price - 0.05;
         self.spill = (self.spill + SPILL_A_SECOND * gain * dt).clamp(0.0, 0.8);
         self.tardy[1] *= 1.0 - 0.1 * dt;
+        let well = |p: &&usize| self.pods.lame[**p] < SICK / 2.0;
+        self.some_well = self.earlier.iter().filter(well).count() * 3 >= self.earlier.len();
         let fade = 1.0 - 0.2 * dt * self.rate_a_pod / self.memory();
-        self.pods.sick.iter_mut().for_each(|sick| *sick *= fade);
+        self.pods.lame.iter_mut().for_each(|lame| *lame *= fade);
         self.most_open *= 1.0 - 0.15 * dt;
         self.weigh_fleet();
         if self.facts.one_way_keys {
--- a/crates/stagepond/src/state.rs
+++ b/crates/stagepond/src/state.rs
@@ -21,7 +21,9 @@
     pub listed: Vec<bool>,
     pub held: Vec<u32>,
     pub others: Vec<f64>,
+    /// How much it errs, and how often it is tardy.
     pub sick: Vec<f64>,
+    pub lame: Vec<f64>,
     pub heard: Vec<Tenths>,
     pub shunned_till: Vec<Tenths>,
     pub strikes: Vec<u32>,
@@ -54,6 +56,7 @@
         self.held.push(0);
         self.others.push(0.0);
         self.sick.push(0.0);
+        self.lame.push(0.0);
         self.heard.push(born);
         self.shunned_till.push(Tenths(0));
         self.strikes.push(0);
@@ -284,6 +287,8 @@
     pub(crate) calm_power: [f64; 2],
     pub(crate) most_power: f64,
     pub(crate) mean_sick: f64,
+    pub(crate) mean_lame: f64,
+    pub(crate) some_well: bool,
     /// Share of tardy answers, near and far.
     pub(crate) tardy: [f64; 2],
     /// Share of dispatches that go far though near pods would do.
@@ -409,7 +414,9 @@
         let all = || self.earlier.iter().chain(&self.trial);
         let sick = all().map(|&p| self.pods.sick[p]).sum::<f64>();
         let most = all().map(|&p| self.power(p)).fold(0.0, f64::max);
-        (self.mean_sick, self.most_power, self.rate_a_pod) = (sick / pods, most, self.rate / pods);
+        let lame = all().map(|&p| self.pods.lame[p]).sum::<f64>();
+        (self.mean_sick, self.mean_lame) = (sick / pods, lame / pods);
+        (self.most_power, self.rate_a_pod) = (most, self.rate / pods);
         if self.trial.is_empty() {
             let power = |set: &[usize]| set.iter().map(|&p| self.power(p)).sum::<f64>();
             self.calm_power = [power(&self.earlier), power(&self.earlier[..self.near[0]])];
