--- a/crates/stagepond/src/balance.rs
+++ b/crates/stagepond/src/balance.rs
@@ -37,21 +37,14 @@
 
 const PULSE: Tenths = Tenths::ms(50);
 const SPEAK_EVERY: Tenths = Tenths::ms(250);
-const STOOD_STILL: Tenths = Tenths::ms(200);
 const STAGGER: Tenths = Tenths::ms(1500);
 const SILENT_AFTER: Tenths = Tenths::ms(2000);
-const SURE_AFTER: Tenths = Tenths::ms(700);
-const ENOUGH_SEEN: u32 = 6;
 const LANES: usize = 64;
 const PATIENCE: f64 = 0.5; // of the SLO time: then what is held is given up, what is out looked at again
 const CROSSING_LEAD: f64 = 6.0; // how much busier near pods must be, for each part that a crossing costs
 const TARDY: f64 = 0.45;
 const SICK: f64 = 0.2;
-const LAME_SECONDS: f64 = 6.0;
 const LAST_SHARE: f64 = 0.85;
-const LOOK_EVERY: f64 = 0.2;
-const DRAWS: usize = 8;
-const SPILL_A_SECOND: f64 = 0.5;
 
 type Fit<'a> = &'a dyn Fn(&Balancer, usize) -> bool;
 type Rule = fn(&mut Balancer, &mut dyn Host) -> bool;
@@ -129,12 +122,10 @@
         if ending == Ending::Succeeded {
             before.iter().for_each(|&p| self.blame(p, op));
         }
-        if !erred {
-            if self.now != self.stood_still {
-                self.note_evidence(pod, op, took, ending);
-            }
-        } else if last_word && before.is_empty() {
+        if erred && last_word && before.is_empty() {
             self.blame(pod, op);
+        } else if !erred && self.now != self.stood_still {
+            self.note_evidence(pod, op, took, ending);
         }
         self.note_room(pod, op, took, ending);
         self.succeeded_since_pulse += f64::from(ending == Ending::Succeeded);
@@ -188,11 +179,9 @@
         self.look_up(host);
         if let (true, Some(ballot)) = (to_vote, &mut self.ballot) {
             self.rebuffs = if ending == Ending::Succeeded { 0 } else { (self.rebuffs + 1).min(5) };
-            ballot.3 = self.now
-                + match ending {
-                    Ending::Succeeded | Ending::Moot => self.facts.vote_life.part(0.5),
-                    _ => self.facts.vote_wait.part(f64::from(1 << self.rebuffs)),
-                };
+            let again = self.facts.vote_wait.part(f64::from(1 << self.rebuffs));
+            let settled = matches!(ending, Ending::Succeeded | Ending::Moot);
+            ballot.3 = self.now + if settled { self.facts.vote_life.part(0.5) } else { again };
         }
         if ending == Ending::Succeeded {
             if matches!(phase, Phase::GoingBack | Phase::Withdrawn) {
@@ -240,7 +229,8 @@
     /// After standing still all is late by one's own fault: of pods, build and fleet that tells nothing.
     fn look_up(&mut self, host: &mut dyn Host) {
         self.now = host.now();
-        self.stood_still = if self.now > self.pulse_at + STOOD_STILL { self.now } else { self.stood_still };
+        self.stood_still =
+            if self.now > self.pulse_at + Tenths::ms(200) { self.now } else { self.stood_still };
     }
 
     fn settle(&mut self, host: &mut dyn Host) {
@@ -288,8 +278,7 @@
             self.back_since = None;
             return false;
         }
-        let since = *self.back_since.get_or_insert(self.now);
-        self.now >= since + turn && self.cast(host, told, Verdict::Back)
+        self.now >= *self.back_since.get_or_insert(self.now) + turn && self.cast(host, told, Verdict::Back)
     }
 
     fn vote_on(&mut self, host: &mut dyn Host) -> bool {
@@ -299,13 +288,12 @@
         let sure = [ERRED, SLOW].iter().all(|g| self.totals[*g] <= -((1.0 - ALPHA) / BETA).ln());
         let heard = self.facts.sidecars < 2 || self.now < self.heard_at + SILENT_AFTER;
         // Where the earlier pods are gone already, waiting costs nothing, and only time can tell.
-        let known = heard && self.seen >= ENOUGH_SEEN && !self.alone;
+        let known = heard && self.seen >= 6 && !self.alone;
         let late = ON_WAIT.part(if known { 1.0 } else { 2.0 });
-        let wait = if sure && known { self.facts.stage_min + SURE_AFTER } else { late };
+        let wait = if sure && known { self.facts.stage_min + Tenths::ms(700) } else { late };
         let from = ready.max(self.awake_since) + wait;
         let open = told.phase == Phase::Trial && self.slow_spell.is_none() && self.facts.votes_move;
-        let clear = open && self.totals.iter().all(|t| *t <= 0.0);
-        if !clear || self.now < from {
+        if !open || self.totals.iter().any(|t| *t > 0.0) || self.now < from {
             self.on_since = None;
             return false;
         }
@@ -366,7 +354,7 @@
             || self.spare_sends < 1.0
             || !self.may_send_again(found)
         {
-            let later = self.now + self.facts.operations[found.op.0].slo_time.part(LOOK_EVERY);
+            let later = self.now + self.facts.operations[found.op.0].slo_time.part(0.2);
             return self.due.push(later, inv);
         }
         self.spare_sends -= 1.0;
@@ -462,7 +450,6 @@
         near.min(all).max(if trial > 0 { 0.0 } else { all })
     }
 
-    /// Near pods first; a far one only where its lead is worth the crossing.
     fn pick(&mut self, trial: bool, tried: &[usize], ok: Fit) -> Option<usize> {
         let (n, f) = (self.two(trial, true, tried, ok), self.two(trial, false, tried, ok));
         let lead = CROSSING_LEAD * self.facts.crossing_price;
@@ -485,7 +472,7 @@
             answers && as_others && !tried.contains(&p) && fit(s, p)
         };
         let (mut best, mut found) = (None, 0);
-        for _ in 0..if from.is_empty() { 0 } else { DRAWS } {
+        for _ in 0..if from.is_empty() { 0 } else { 8 } {
             let p = from[rng.usize(0..from.len())];
             // Drawn by power: with nothing in flight the less loaded is always the stronger one.
             if found < 2 && rng.f64() * self.most_power < self.power(p) && well(self, p) {
@@ -542,7 +529,7 @@
         }
         // A pod may be ill for this sidecar alone; where no others are well, it is the fleet that is full.
         if matches!(ending, Ending::Succeeded | Ending::TimedOut) && self.now != self.stood_still {
-            self.pods.lame[p] += (f64::from(tardy && self.some_well) - self.pods.lame[p]) / self.memory();
+            self.pods.lame[p] += (f64::from(tardy && self.some_well) - self.pods.lame[p]) / self.memory;
         }
         match ending {
             Ending::Succeeded | Ending::Error => {
@@ -555,7 +542,6 @@
                 if ending != Ending::TimedOut {
                     (self.pods.cold_at[p], self.pods.pressed[p]) = (self.now, (self.rng.f64(), self.now));
                 }
-                // A silent pod would look idle once what it holds has timed out.
                 self.pods.strikes[p] = (self.pods.strikes[p] + 1).min(4);
                 self.pods.shunned_till[p] = self.now + Tenths::ms(250 << self.pods.strikes[p]);
             }
@@ -563,11 +549,6 @@
         }
     }
 
-    /// Who seldom meets a pod must learn from less, or would not know it before the trouble is over.
-    fn memory(&self) -> f64 {
-        (LAME_SECONDS * self.rate_a_pod).clamp(4.0, 40.0)
-    }
-
     fn blame(&mut self, p: usize, op: Op) {
         self.pods.sick[p] += (1.0 - self.pods.sick[p]) / 12.0;
         self.note_evidence(p, op, Tenths(0), Ending::Error);
@@ -583,9 +564,7 @@
         let (released, watching) = (self.released(), self.news().is_some());
         // Late answers and time-outs are the slow test's matter: under load they come at any build.
         let (late, erred, even) = (ending == Ending::TimedOut, ending == Ending::Error, self.cap() < 1.0);
-        // Kinds of machines differ in speed, and a first stage may have got only slow ones.
         let usual = &mut self.usual[self.pods.kind[p].0 * self.facts.operations.len() + o];
-        let erring = &mut self.erring[o];
         // While the trial carries its part the earlier pods carry less than before, and answer sooner.
         let before = judged && self.calm_seconds > 0.0;
         let slow = late || ms > usual.slow_mark.max(if before { usual.mark_before } else { 0.0 });
@@ -599,13 +578,16 @@
             let struck = |set: &[usize]| set.iter().filter(|p| self.pods.sick[**p] > SICK).count();
             let others = erred && !released && struck(&self.earlier) > 0;
             let excused = others && struck(&self.trial) * 2 <= self.trial.len().max(2);
-            let known = erring.share.clamp(P0_FLOOR, 0.9);
+            let known = self.erring[o].share.clamp(P0_FLOOR, 0.9);
             let weight = if excused { 0.0 } else { ratio(erred, known, known + P1_ABOVE) };
-            // Beside no answers, or those of near idle pods, nothing tells a slow build from a slow hour; near
-            // the fleet's limit a little more load does as much as a slow build.
-            let eased = self.tardy[0] < TARDY / 2.0;
-            let fresh = !released && even && eased && self.now < usual.at + SILENT_AFTER;
-            if !erred && age >= self.facts.warm_after && fresh && usual.answers >= P0_TRUSTED_AFTER {
+            // Beside no answers or near idle pods, or near the limit, a slow build is like a slow hour.
+            let fresh = even && self.tardy[0] < TARDY / 2.0 && self.now < usual.at + SILENT_AFTER;
+            if !erred
+                && !released
+                && age >= self.facts.warm_after
+                && fresh
+                && usual.answers >= P0_TRUSTED_AFTER
+            {
                 // What few answers tell is taken at its upper end: small sidecars know little.
                 let doubt = 0.5 / f64::from(usual.answers.min(64)).sqrt();
                 let p0 = (usual.slow_share + doubt).clamp(0.05, 0.6);
@@ -615,7 +597,7 @@
             let silence = if erred { 0.0 } else { NO_FLAG_WEIGHT * WRONG_SHARE * self.facts.flag_share };
             self.feed(WRONG, -silence);
         } else if age >= self.facts.warm_after {
-            erring.note(erred, 256.0);
+            self.erring[o].note(erred, 256.0);
             if !erred {
                 self.succeeded += 1.0;
                 usual.at = self.now;
@@ -662,8 +644,8 @@
         };
         let usual = self.fleet_before.max(1.0 - SLOW_QUANTILE);
         let side = ((slow / all - usual - SHARED_FROM) / SHARED_FROM).clamp(-1.0, 1.0);
-        let soon = self.now < told.from + SHARED_WITHIN;
-        self.slow_spell = (side > 0.0).then(|| self.slow_spell.unwrap_or(soon));
+        self.slow_spell =
+            (side > 0.0).then(|| self.slow_spell.unwrap_or(self.now < told.from + SHARED_WITHIN));
         if side < 0.0 || self.slow_spell == Some(true) {
             let traffic = if self.alone { 0.5 } else { self.part };
             self.feed(SHARED, side * SHARED_A_SECOND * secs * traffic);
@@ -712,14 +694,15 @@
         self.succeeded_since_pulse = 0.0;
         self.measure();
         self.part = self.trial_part();
-        // Only near pods may be slow: traffic moved here, or their zone is ill. Small sidecars see no lead in
-        // numbers, so time tells.
+        // Traffic may have moved here, or the zone be ill: small sidecars see no lead but in time.
         let gain = self.tardy[0] - self.tardy[1] - self.facts.crossing_price - 0.05;
-        self.spill = (self.spill + SPILL_A_SECOND * gain * dt).clamp(0.0, 0.8);
+        self.spill = (self.spill + 0.5 * gain * dt).clamp(0.0, 0.8);
         self.tardy[1] *= 1.0 - 0.1 * dt;
         let well = |p: &&usize| self.pods.lame[**p] < SICK / 2.0;
         self.some_well = self.earlier.iter().filter(well).count() * 3 >= self.earlier.len();
-        let fade = 1.0 - 0.2 * dt * self.rate_a_pod / self.memory();
+        // Who seldom meets a pod must learn from less, or would not know it before the trouble is over.
+        self.memory = (6.0 * self.rate_a_pod).clamp(4.0, 40.0);
+        let fade = 1.0 - 0.2 * dt * self.rate_a_pod / self.memory;
         self.pods.lame.iter_mut().for_each(|lame| *lame *= fade);
         self.most_open *= 1.0 - 0.15 * dt;
         self.weigh_fleet();
--- a/crates/stagepond/src/state.rs
+++ b/crates/stagepond/src/state.rs
@@ -288,6 +288,8 @@
     pub(crate) most_power: f64,
     pub(crate) mean_sick: f64,
     pub(crate) mean_lame: f64,
+    /// How many answers of one pod its tardiness is taken from.
+    pub(crate) memory: f64,
     pub(crate) some_well: bool,
     /// Share of tardy answers, near and far.
     pub(crate) tardy: [f64; 2],
