--- a/crates/stagepond/src/balance.rs
+++ b/crates/stagepond/src/balance.rs
@@ -31,8 +31,7 @@
 const SHARED_A_SECOND: f64 = 2.2;
 const SHARED_WITHIN: Tenths = Tenths::ms(7000);
 const WRONG_SHARE: f64 = 0.06;
-// Under the band where little is known of false reports: one alone must not make a bit there.
-const FLAG_WEIGHT: f64 = 0.85;
+const FLAG_WEIGHT: f64 = 0.85; // some are false
 const NO_FLAG_WEIGHT: f64 = 0.7; // reports are seconds late, silence is less than a finding
 
 const PULSE: Tenths = Tenths::ms(50);
@@ -44,7 +43,6 @@
 const CROSSING_LEAD: f64 = 6.0; // how much busier near pods must be, for each part that a crossing costs
 const TARDY: f64 = 0.45;
 const SICK: f64 = 0.2;
-const LAST_SHARE: f64 = 0.85;
 
 type Fit<'a> = &'a dyn Fn(&Balancer, usize) -> bool;
 type Rule = fn(&mut Balancer, &mut dyn Host) -> bool;
@@ -190,6 +188,7 @@
             if self.told.is_some_and(|t| t.build == build && cap < t.cap) {
                 self.allowance.iter_mut().for_each(|a| *a = if cap > 0.0 { a.min(1.0) } else { 0.0 });
             }
+            self.best = if self.told.is_some_and(|t| t.stage == stage) { self.best } else { self.totals };
             self.told = Some(Told { build, stage, phase, cap, from: self.now - since });
             self.sort_pods();
         }
@@ -261,8 +260,8 @@
         let held = early && found.may_have_run().is_none();
         let room = found.sent.len() < self.facts.dispatches_max && self.now < found.until;
         // A third pod would err too: the clients' own errors must not fill the fleet.
-        let hopeless = found.sent.iter().filter(|s| s.erred).count() >= 2;
-        let may = room && (first || early && !hopeless && self.may_send_again(found));
+        let hope = found.sent.iter().filter(|s| s.erred).count() < 2 && self.may_send_again(found);
+        let may = room && (first || early && hope);
         match if may { self.choose(&inv) } else { None } {
             Some(pod) => self.send(host, &inv, pod),
             None if may && held => self.waiting.push_back(inv),
@@ -289,11 +288,12 @@
         let heard = self.facts.sidecars < 2 || self.now < self.heard_at + SILENT_AFTER;
         // Where the earlier pods are gone already, waiting costs nothing, and only time can tell.
         let known = heard && self.seen >= 6 && !self.alone;
-        let late = ON_WAIT.part(if known { 1.0 } else { 2.0 });
-        let wait = if sure && known { self.facts.stage_min + Tenths::ms(700) } else { late };
-        let from = ready.max(self.awake_since) + wait;
+        let early = self.facts.stage_min + Tenths::ms(700);
+        let wait = if sure && known { early } else { ON_WAIT.part(if known { 1.0 } else { 2.0 }) };
         let open = told.phase == Phase::Trial && self.slow_spell.is_none() && self.facts.votes_move;
-        if !open || self.totals.iter().any(|t| *t > 0.0) || self.now < from {
+        // Credit that melts at this stage is news, long before it is spent.
+        let melts = (0..GROUNDS).any(|g| self.totals[g] > (self.best[g] + BAND / 2.0).min(0.0));
+        if !open || melts || self.now < ready.max(self.awake_since) + wait {
             self.on_since = None;
             return false;
         }
@@ -405,7 +405,6 @@
         let allowed = self.cap() > 0.0 && self.allowance[self.bucket(op)] >= 1.0;
         let barred =
             stage < self.facts.guarded_stages && self.facts.operations[op.0].repeat != Repeat::Idempotent;
-        // On the way back the earlier pods may still have to start.
         matches!(phase, Phase::Trial | Phase::GoingBack) && allowed && !barred
     }
 
@@ -445,7 +444,7 @@
             takes / if even { power(earlier) + power(trial) } else { before }.max(1e-9)
         };
         let [earlier, trial] = self.near;
-        let all = part(&self.earlier, &self.trial, self.calm_power[0]).min(LAST_SHARE);
+        let all = part(&self.earlier, &self.trial, self.calm_power[0]).min(0.85);
         let near = part(&self.earlier[..earlier], &self.trial[..trial], self.calm_power[1]);
         near.min(all).max(if trial > 0 { 0.0 } else { all })
     }
@@ -577,7 +576,9 @@
             // While earlier pods fail too, only what most trial pods do is the build's.
             let struck = |set: &[usize]| set.iter().filter(|p| self.pods.sick[**p] > SICK).count();
             let others = erred && !released && struck(&self.earlier) > 0;
-            let excused = others && struck(&self.trial) * 2 <= self.trial.len().max(2);
+            // What sets in long after a release is not the build's, and no earlier pod is left to show it.
+            let old = released && self.told.is_some_and(|t| self.now > t.from + ON_WAIT.part(2.0));
+            let excused = old || others && struck(&self.trial) * 2 <= self.trial.len().max(2);
             let known = self.erring[o].share.clamp(P0_FLOOR, 0.9);
             let weight = if excused { 0.0 } else { ratio(erred, known, known + P1_ABOVE) };
             // Beside no answers or near idle pods, or near the limit, a slow build is like a slow hour.
@@ -588,14 +589,12 @@
                 && fresh
                 && usual.answers >= P0_TRUSTED_AFTER
             {
-                // What few answers tell is taken at its upper end: small sidecars know little.
-                let doubt = 0.5 / f64::from(usual.answers.min(64)).sqrt();
+                let doubt = 0.5 / f64::from(usual.answers.min(64)).sqrt(); // small sidecars know little
                 let p0 = (usual.slow_share + doubt).clamp(0.05, 0.6);
                 self.feed(SLOW, SLOW_WEIGHT * ratio(slow, p0, p0 + SLOW_ABOVE));
             }
             self.feed(ERRED, weight);
-            let silence = if erred { 0.0 } else { NO_FLAG_WEIGHT * WRONG_SHARE * self.facts.flag_share };
-            self.feed(WRONG, -silence);
+            self.feed(WRONG, if erred { 0.0 } else { -NO_FLAG_WEIGHT * WRONG_SHARE * self.facts.flag_share });
         } else if age >= self.facts.warm_after {
             self.erring[o].note(erred, 256.0);
             if !erred {
@@ -624,6 +623,7 @@
             // Flags come late and few, a slow fleet is a matter of the moment: neither gathers credit.
             let floor = [-CREDIT * a, -CREDIT * a, -BAND, 0.0][g];
             self.totals[g] = (self.totals[g] + news).clamp(floor, b + BAND);
+            self.best[g] = self.best[g].min(self.totals[g]);
         }
     }
 
--- a/crates/stagepond/src/state.rs
+++ b/crates/stagepond/src/state.rs
@@ -332,6 +332,8 @@
     pub(crate) said: Vec<Said>,
     pub(crate) totals: [f64; GROUNDS],
     pub(crate) gathered: [f64; GROUNDS],
+    /// The lowest totals of this stage.
+    pub(crate) best: [f64; GROUNDS],
     /// Of this second: the fleet's answers that were slower than before the build came, and all.
     pub(crate) fleet: (f64, f64),
     pub(crate) fleet_at: Tenths,
@@ -381,7 +383,8 @@
     /// Nothing is known yet of the build now under judgement.
     pub(crate) fn begin_judging(&mut self) {
         self.allowance.iter_mut().for_each(|a| *a = 0.0);
-        (self.sums, self.totals, self.gathered) = ([0.0; GROUNDS], [0.0; GROUNDS], [0.0; GROUNDS]);
+        (self.sums, self.totals) = ([0.0; GROUNDS], [0.0; GROUNDS]);
+        (self.gathered, self.best) = ([0.0; GROUNDS], [0.0; GROUNDS]);
         (self.fleet, self.slow_spell) = ((0.0, 0.0), None);
         self.said = vec![Said::default(); self.facts.sidecars];
         self.mine = Said { life: self.mine.life, ..Said::default() };
--- a/crates/stagepond/tests/stories.rs
+++ b/crates/stagepond/tests/stories.rs
@@ -511,6 +511,30 @@
     assert!(votes.contains(&(2, 0, Verdict::Back)));
 }
 
+#[rstest]
+#[case::from_the_start(0, true)]
+#[case::long_after_the_release(2000, false)]
+fn errors_send_a_released_build_back_unless_they_set_in_late(#[case] from: i64, #[case] back: bool) {
+    let mut s = judged(Facts { sidecars: 1, ..facts() });
+    s.news(2, 3, Phase::Released, 1.0);
+    s.list(true, &[(5, 2, 90_000), (6, 2, 90_000), (7, 2, 90_000)]);
+    let mut last = 0;
+    let votes = run(&mut s, 3000, |_, n| {
+        last = if last == n { -1 } else { n };
+        (50, if n >= from && n % 4 == 0 && last == n { Ending::Error } else { Ending::Succeeded })
+    });
+    assert_eq!(votes.contains(&(2, 3, Verdict::Back)), back);
+}
+
+#[rstest]
+fn credit_that_melts_holds_the_vote_on() {
+    let mut s = judged(Facts { sidecars: 1, votes_move: true, stage_min: Tenths::ms(9000), ..facts() });
+    let votes = run(&mut s, 1500, |pod, n| {
+        (50, if pod > 4 && n > 900 && n % 9 == 0 { Ending::Error } else { Ending::Succeeded })
+    });
+    assert!(!votes.iter().any(|vote| vote.2 == Verdict::On), "{votes:?}");
+}
+
 #[rstest]
 fn a_few_broken_machines_do_not_take_a_released_build_off() {
     let mut s = judged(Facts { sidecars: 1, ..facts() });
