--- a/crates/stagepond/src/balance.rs
+++ b/crates/stagepond/src/balance.rs
@@ -28,15 +28,12 @@
 const SLOW_ABOVE: f64 = 0.3;
 const SLOW_WEIGHT: f64 = 0.3;
 const SHARED_FROM: f64 = 0.2;
-const SHARED_A_SECOND: f64 = 2.2;
-const SHARED_WITHIN: Tenths = Tenths::ms(7000);
 const WRONG_SHARE: f64 = 0.06;
 const FLAG_WEIGHT: f64 = 0.85; // some are false
 const NO_FLAG_WEIGHT: f64 = 0.7; // reports are seconds late, silence is less than a finding
 
 const PULSE: Tenths = Tenths::ms(50);
 const SPEAK_EVERY: Tenths = Tenths::ms(250);
-const STAGGER: Tenths = Tenths::ms(1500);
 const SILENT_AFTER: Tenths = Tenths::ms(2000);
 const LANES: usize = 64;
 const PATIENCE: f64 = 0.5; // of the SLO time: then what is held is given up, what is out looked at again
@@ -291,7 +288,6 @@
         let early = self.facts.stage_min + Tenths::ms(700);
         let wait = if sure && known { early } else { ON_WAIT.part(if known { 1.0 } else { 2.0 }) };
         let open = told.phase == Phase::Trial && self.slow_spell.is_none() && self.facts.votes_move;
-        // Credit that melts at this stage is news, long before it is spent.
         let melts = (0..GROUNDS).any(|g| self.totals[g] > (self.best[g] + BAND / 2.0).min(0.0));
         if !open || melts || self.now < ready.max(self.awake_since) + wait {
             self.on_since = None;
@@ -463,7 +459,8 @@
     fn two(&mut self, trial: bool, near: bool, tried: &[usize], ok: Fit) -> Option<usize> {
         let (set, mut rng) = (if trial { &self.trial } else { &self.earlier }, self.rng.clone());
         let (here, there) = set.split_at(self.near[usize::from(trial)]);
-        let from = if near { here } else { there };
+        let all = if near { here } else { there };
+        let from = &all[..self.few.min(all.len())];
         let fit = |s: &Self, p: usize| ok(s, p) && s.bears(p);
         let well = |s: &Self, p: usize| {
             let answers = s.now >= s.pods.shunned_till[p] && !s.stuck(p);
@@ -480,8 +477,8 @@
             }
         }
         if found == 0 {
-            let from_here = rng.usize(0..from.len().max(1));
-            let turned = || from[from_here..].iter().chain(&from[..from_here]).copied();
+            let (a, b) = all.split_at(rng.usize(0..all.len().max(1)));
+            let turned = || b.iter().chain(a).copied();
             best = turned().find(|&p| well(self, p)).or_else(|| turned().find(|&p| fit(self, p)));
         }
         self.rng = rng;
@@ -591,7 +588,9 @@
             {
                 let doubt = 0.5 / f64::from(usual.answers.min(64)).sqrt(); // small sidecars know little
                 let p0 = (usual.slow_share + doubt).clamp(0.05, 0.6);
-                self.feed(SLOW, SLOW_WEIGHT * ratio(slow, p0, p0 + SLOW_ABOVE));
+                // Near the limit slow answers come in longer runs still.
+                let runs = if self.open as f64 > self.room * 0.6 { 0.4 } else { 1.0 };
+                self.feed(SLOW, SLOW_WEIGHT * runs * ratio(slow, p0, p0 + SLOW_ABOVE));
             }
             self.feed(ERRED, weight);
             self.feed(WRONG, if erred { 0.0 } else { -NO_FLAG_WEIGHT * WRONG_SHARE * self.facts.flag_share });
@@ -645,10 +644,10 @@
         let usual = self.fleet_before.max(1.0 - SLOW_QUANTILE);
         let side = ((slow / all - usual - SHARED_FROM) / SHARED_FROM).clamp(-1.0, 1.0);
         self.slow_spell =
-            (side > 0.0).then(|| self.slow_spell.unwrap_or(self.now < told.from + SHARED_WITHIN));
+            (side > 0.0).then(|| self.slow_spell.unwrap_or(self.now < told.from + Tenths::ms(7000)));
         if side < 0.0 || self.slow_spell == Some(true) {
             let traffic = if self.alone { 0.5 } else { self.part };
-            self.feed(SHARED, side * SHARED_A_SECOND * secs * traffic);
+            self.feed(SHARED, side * 2.2 * secs * traffic);
         }
     }
 
@@ -677,7 +676,6 @@
         }
     }
 
-    /// How much of the room an invocation may use: more value for each unit of work goes further.
     fn grade(&mut self, op: Op) -> f64 {
         let work = if self.facts.value_by_work { 1.0 } else { self.usual[op.0].ms.max(1.0) };
         let density = self.facts.operations[op.0].billed_value / work;
@@ -689,6 +687,8 @@
         let dt = (self.now - self.pulse_at + PULSE).secs().max(0.05);
         self.pulse_at = self.now + PULSE;
         self.ready.append(&mut self.waiting);
+        // Small sidecars keep to few pods, or they would know none and open a connection for each dispatch.
+        self.few = self.rate.max(6.0) as usize;
         let up = (self.now - self.awake_since).secs().max(1.0);
         self.rate += (self.succeeded_since_pulse / dt - self.rate) * (dt / 15.0).max(dt / up).min(1.0);
         self.succeeded_since_pulse = 0.0;
@@ -715,7 +715,7 @@
 
     fn voting(&self) -> Option<(Tenths, Told)> {
         let rank = Some(self.facts.me.0).filter(|&rank| rank < VOTERS)?;
-        Some((STAGGER.part(rank as f64), self.news()?))
+        Some((Tenths::ms(1500).part(rank as f64), self.news()?))
     }
 
     fn cast(&mut self, host: &mut dyn Host, told: Told, verdict: Verdict) -> bool {
--- a/crates/stagepond/src/state.rs
+++ b/crates/stagepond/src/state.rs
@@ -29,6 +29,8 @@
     pub strikes: Vec<u32>,
     pub cold_at: Vec<Tenths>,
     pub pressed: Vec<(f64, Tenths)>,
+    /// An order of this sidecar's own.
+    pub rank: Vec<u64>,
 }
 
 impl Pods {
@@ -62,6 +64,7 @@
         self.strikes.push(0);
         self.cold_at.push(born);
         self.pressed.push((pressed, born));
+        self.rank.push(pressed.to_bits().wrapping_mul(0x9E37_79B9_7F4A_7C15));
         p
     }
 
@@ -286,6 +289,8 @@
     /// Power of all pods, and of the near ones, when last no build was on trial.
     pub(crate) calm_power: [f64; 2],
     pub(crate) most_power: f64,
+    /// How many pods of a set are drawn from.
+    pub(crate) few: usize,
     pub(crate) mean_sick: f64,
     pub(crate) mean_lame: f64,
     /// How many answers of one pod its tardiness is taken from.
@@ -421,7 +426,7 @@
         let most = all().map(|&p| self.power(p)).fold(0.0, f64::max);
         let lame = all().map(|&p| self.pods.lame[p]).sum::<f64>();
         (self.mean_sick, self.mean_lame) = (sick / pods, lame / pods);
-        (self.most_power, self.rate_a_pod) = (most, self.rate / pods);
+        (self.most_power, self.rate_a_pod) = (most, self.rate / pods.min(self.few.max(1) as f64));
         if self.trial.is_empty() {
             let power = |set: &[usize]| set.iter().map(|&p| self.power(p)).sum::<f64>();
             self.calm_power = [power(&self.earlier), power(&self.earlier[..self.near[0]])];
@@ -461,8 +466,8 @@
 
     pub(crate) fn near_first(&mut self) {
         let far = |p: &usize| self.pods.zone[*p] != self.facts.zone;
-        self.earlier.sort_by_key(far);
-        self.trial.sort_by_key(far);
+        self.earlier.sort_by_key(|p| (far(p), self.pods.rank[*p]));
+        self.trial.sort_by_key(|p| (far(p), self.pods.rank[*p]));
         self.near = [&self.earlier, &self.trial].map(|set| set.iter().filter(|p| !far(p)).count());
     }
 
--- a/crates/stagepond/tests/stories.rs
+++ b/crates/stagepond/tests/stories.rs
@@ -308,6 +308,21 @@
     assert!(throttled > 40, "{throttled}");
 }
 
+#[rstest]
+fn a_sidecar_with_little_traffic_keeps_to_few_pods() {
+    let mut s = quiet(facts());
+    s.list(true, &(10..60).map(|p| (p, 1, 0)).collect::<Vec<_>>());
+    let mut met: Vec<u32> = (0..100)
+        .filter_map(|_| {
+            s.pass(400);
+            s.round_trip(20, Ending::Succeeded)
+        })
+        .collect();
+    met.sort();
+    met.dedup();
+    assert!(met.len() < 20, "{met:?}");
+}
+
 fn run(
     s: &mut Sidecar, rounds: i64, mut ends: impl FnMut(u32, i64) -> (i64, Ending),
 ) -> Vec<(u16, u32, Verdict)> {
