--- /dev/null
+++ b/crates/stagepond-sidecar/src/discovery.rs
@@ -0,0 +1,126 @@
+//! The watch on discovery: one connection that stays open, a JSON object a line. It owns the decoding of
+//! lists and the reconnecting; it must never keep or change the list itself: the reducer holds it.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use anyhow::{anyhow, bail, Context, Result};
+use serde::Deserialize;
+use serde_json::Value;
+use stagepond::host::*;
+use stagepond_facts::Names;
+use tokio::sync::{mpsc, Notify};
+
+use crate::messages::*;
+use crate::stream::{self, Complaints};
+
+/// An empty line comes every 2 s; one may be late by half of that.
+const SILENCE: Duration = Duration::from_millis(3000);
+/// The agent is on the same machine and costs nothing, so a new try soon; still no spin while it is away.
+const RECONNECT: Duration = Duration::from_millis(100);
+/// A whole list of some thousand pods.
+const LINE_MAX: usize = 1 << 20;
+
+#[derive(Deserialize)]
+struct Line {
+    index: u64,
+    snapshot: bool,
+    endpoints: Vec<Entry>,
+}
+
+#[derive(Deserialize)]
+struct Entry {
+    name: String,
+    address: String,
+    zone: String,
+    r#type: String,
+    #[serde(default)]
+    group: u32,
+    status: String,
+    #[serde(default = "one")]
+    weight: f64,
+    #[serde(default)]
+    since_ms: f64,
+    #[serde(default)]
+    release: u16,
+}
+
+fn one() -> f64 {
+    1.0
+}
+
+pub fn decode(line: Value, names: &Names) -> Result<List> {
+    let line: Line = serde_json::from_value(line)?;
+    let position = |field: &str, all: &[String], name: &str| {
+        let found = all.iter().position(|n| n == name);
+        found.ok_or_else(|| anyhow!("{field}: {name:?} is not in the settings"))
+    };
+    let row = |entry: Entry| -> Result<Row> {
+        let availability = match entry.status.as_str() {
+            "in_service" => Availability::Up,
+            "terminating" => Availability::Draining,
+            "terminated" => Availability::Gone,
+            other => bail!("status: {other:?} is unknown"),
+        };
+        if !(entry.weight.is_finite() && (0.0..1e14).contains(&entry.since_ms)) {
+            bail!("weight or since_ms of {:?} is no figure", entry.name);
+        }
+        Ok(Row {
+            address: entry.address.parse().with_context(|| format!("address {:?}", entry.address))?,
+            name: PodName(entry.name.into()),
+            zone: Zone(position("zone", &names.zones, &entry.zone)?),
+            kind: Kind(position("type", &names.kinds, &entry.r#type)?),
+            cell: Cell(entry.group),
+            availability,
+            weight: entry.weight,
+            born: Some(entry.since_ms).filter(|ms| *ms > 0.0).map(Tenths::ceil),
+            build: Build(entry.release),
+        })
+    };
+    let rows = line.endpoints.into_iter().map(row).collect::<Result<_>>()?;
+    Ok(List { index: line.index, whole: line.snapshot, rows })
+}
+
+/// Watches for as long as the program runs. `whole` asks for the whole list once more.
+pub async fn watch(
+    address: SocketAddr, mut index: u64, names: Arc<Names>, whole: Arc<Notify>, inputs: mpsc::Sender<Input>,
+) {
+    let complaints = Complaints::default();
+    loop {
+        let since = if index > 0 { format!("&index={index}") } else { String::new() };
+        let target = format!("/v1/endpoints?stream=1{since}");
+        let why = match stream::open(address, &target, LINE_MAX).await {
+            Ok(mut lines) => loop {
+                let line = tokio::select! {
+                    line = lines.next(SILENCE) => line,
+                    () = whole.notified() => {
+                        index = 0;
+                        break anyhow!("the whole list is asked for");
+                    }
+                };
+                let list = match line {
+                    Ok(line) if line.trim().is_empty() => continue,
+                    Ok(line) => serde_json::from_str(&line).map_err(Into::into),
+                    Err(error) => break error,
+                };
+                match list.and_then(|list| decode(list, &names)) {
+                    Ok(list) => {
+                        index = list.index;
+                        if inputs.send(Input::Listed(list)).await.is_err() {
+                            return;
+                        }
+                    }
+                    // What it said can't be known, so changes after it can't be trusted either.
+                    Err(error) => break error.context("a line of the list"),
+                }
+            },
+            Err(error) => error,
+        };
+        complaints.say(format_args!("discovery: {why:#}"));
+        if inputs.send(Input::ListBroke).await.is_err() {
+            return;
+        }
+        tokio::time::sleep(RECONNECT).await;
+    }
+}
--- /dev/null
+++ b/crates/stagepond-sidecar/src/platform.rs
@@ -0,0 +1,171 @@
+//! The platform that rolls builds out: its stream of news in, votes out. It owns the wording of both; it
+//! must never judge a build nor repeat a vote: a vote that came to nothing is told, and the module decides.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use anyhow::{bail, Context, Result};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::header::CONTENT_TYPE;
+use hyper::{Request, StatusCode};
+use serde::Deserialize;
+use stagepond::host::*;
+use stagepond_facts::Names;
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+
+use crate::launch::StandingForm;
+use crate::messages::*;
+use crate::stream::{self, Complaints};
+
+/// A sign of life comes every second; two may be lost to a busy machine.
+const SILENCE: Duration = Duration::from_millis(3000);
+/// What is told meanwhile is not told again, so a new try soon; still no spin while it is away.
+const RECONNECT: Duration = Duration::from_millis(200);
+const LINE_MAX: usize = 64 << 10;
+const ANSWER_MAX: usize = 64 << 10;
+
+#[derive(Deserialize)]
+struct Dispute {
+    server: String,
+    class: String,
+    age_ms: f64,
+}
+
+fn event(kind: &str, data: &str, names: &Names) -> Result<Option<Input>> {
+    Ok(match kind {
+        "ROLLOUT" => Some(Input::Standing(
+            serde_urlencoded::from_str::<StandingForm>(data).context(kind.to_string())?.read()?,
+        )),
+        "DISPUTE" => {
+            let told: Dispute = serde_urlencoded::from_str(data).context(kind.to_string())?;
+            let Some(op) = names.operations.iter().position(|n| *n == told.class) else {
+                bail!("DISPUTE: class {:?} is not in the settings", told.class);
+            };
+            if !(0.0..1e12).contains(&told.age_ms) {
+                bail!("DISPUTE: age_ms {} is no time", told.age_ms);
+            }
+            let (pod, age) = (PodName(told.server.into()), Tenths::floor(told.age_ms));
+            Some(Input::Disputed { pod, op: Op(op), age })
+        }
+        _ => None,
+    })
+}
+
+/// Reads the stream for as long as the program runs.
+pub async fn listen(address: SocketAddr, names: Arc<Names>, inputs: mpsc::Sender<Input>) {
+    let complaints = Complaints::default();
+    loop {
+        let why = match stream::open(address, "/stream", LINE_MAX).await {
+            Ok(mut lines) => {
+                let (mut kind, mut data) = (String::new(), String::new());
+                loop {
+                    let line = match lines.next(SILENCE).await {
+                        Ok(line) => line,
+                        Err(error) => break error,
+                    };
+                    if !line.is_empty() {
+                        match line.split_once(':') {
+                            Some(("event", rest)) => kind = rest.trim_start().to_string(),
+                            Some(("data", rest)) => data = rest.trim_start().to_string(),
+                            _ => {}
+                        }
+                        continue;
+                    }
+                    match event(&std::mem::take(&mut kind), &std::mem::take(&mut data), &names) {
+                        Ok(None) => {}
+                        Ok(Some(input)) => {
+                            if inputs.send(input).await.is_err() {
+                                return;
+                            }
+                        }
+                        Err(error) => complaints.say(format_args!("platform: {error:#}")),
+                    }
+                }
+            }
+            Err(error) => error,
+        };
+        complaints.say(format_args!("platform: {why:#}"));
+        tokio::time::sleep(RECONNECT).await;
+    }
+}
+
+pub struct Vote {
+    pub build: Build,
+    pub stage: u32,
+    pub verdict: Option<Verdict>,
+    pub until: Instant,
+}
+
+/// Carries votes out one after the other, as they came.
+pub async fn votes(
+    address: SocketAddr, mut votes: mpsc::UnboundedReceiver<Vote>, inputs: mpsc::Sender<Input>,
+) {
+    while let Some(vote) = votes.recv().await {
+        let answer = tokio::time::timeout_at(vote.until, put(address, &vote)).await;
+        let answer = answer.unwrap_or(Err(Ending::TimedOut));
+        tracing::info!(build = vote.build.0, stage = vote.stage, verdict = ?vote.verdict, ?answer, "voted");
+        if inputs.send(Input::VoteAnswered(answer)).await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn put(address: SocketAddr, vote: &Vote) -> Result<Standing, Ending> {
+    let verdict = match vote.verdict {
+        None => "abstain",
+        Some(Verdict::On) => "promote",
+        Some(Verdict::Hold) => "pause",
+        Some(Verdict::Back) => "abort",
+    };
+    let (build, stage) = (vote.build.0, vote.stage);
+    let form = format!("Action=PutApproval&build={build}&stage={stage}&verdict={verdict}");
+    let post = Request::post(format!("http://{address}/"))
+        .header(CONTENT_TYPE, "application/x-www-form-urlencoded")
+        .body(Full::from(form))
+        .expect("an address and a form make a call");
+    let answer = stream::client().request(post).await.map_err(|error| {
+        // Past that point it may have been carried out: then "nothing known" is the only true answer.
+        if error.is_connect() {
+            Ending::NoConnection
+        } else {
+            Ending::TimedOut
+        }
+    })?;
+    let status = answer.status();
+    let body = Limited::new(answer.into_body(), ANSWER_MAX).collect().await.map_err(|_| Ending::TimedOut)?;
+    outcome(status, &body.to_bytes())
+}
+
+#[derive(Deserialize)]
+struct Answer {
+    entries: Entries,
+}
+
+#[derive(Deserialize)]
+struct Entries {
+    item: StandingForm,
+}
+
+#[derive(Deserialize)]
+struct Fault {
+    #[serde(rename = "Code")]
+    code: String,
+}
+
+fn outcome(status: StatusCode, body: &Bytes) -> Result<Standing, Ending> {
+    let text = std::str::from_utf8(body).map_err(|_| Ending::TimedOut)?;
+    if status == StatusCode::OK {
+        let answer = quick_xml::de::from_str::<Answer>(text).map_err(|_| Ending::TimedOut)?;
+        return answer.entries.item.read().map_err(|_| Ending::TimedOut);
+    }
+    let fault = quick_xml::de::from_str::<Fault>(text).map_err(|_| Ending::TimedOut)?;
+    Err(match fault.code.as_str() {
+        "throttled" => Ending::Full,
+        "conflict" | "invalid" => Ending::Moot,
+        "internal" => Ending::Error,
+        _ => Ending::TimedOut,
+    })
+}
--- /dev/null
+++ b/crates/stagepond-sidecar/src/pods.rs
@@ -0,0 +1,221 @@
+//! Dispatches to pods, through hyper-util's client: one client and one connection to a lane, one dispatch at
+//! a time on it, so that a connection never comes up beside one that has just become free. It owns the
+//! connections to pods and tells how each dispatch ended; it must never send one again or time one out: that
+//! is the reducer's to ask for.
+
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::{Arc, Mutex};
+use std::task::{Context, Poll};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::http::uri::{Authority, Scheme, Uri};
+use hyper::{HeaderMap, Request, StatusCode};
+use hyper_util::client::legacy::Client;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+use stagepond::host::{Ending, Tenths};
+use tokio::sync::mpsc;
+use tokio::task::AbortHandle;
+
+use crate::front::BODY_MAX;
+use crate::launch::Transport;
+use crate::messages::*;
+use crate::wire::{Trace, Wire};
+
+/// A pod may close what stood idle for the whole time; what is written just then would be a reset.
+const IDLE_SHARE: f64 = 0.8;
+const LOAD: &str = "x-server-load";
+const NOT_RUN: &str = "x-not-processed";
+const TIME_LIMIT: &str = "x-timeout-ms";
+
+pub fn duration(t: Tenths) -> Duration {
+    Duration::from_micros(t.0.max(0) as u64 * 100)
+}
+
+#[derive(Clone)]
+struct Dial {
+    to: SocketAddr,
+    trace: Trace,
+    clock: Clock,
+    within: Duration,
+}
+
+impl tower_service::Service<Uri> for Dial {
+    type Response = Wire;
+    type Error = io::Error;
+    type Future = Pin<Box<dyn std::future::Future<Output = io::Result<Wire>> + Send>>;
+
+    fn poll_ready(&mut self, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn call(&mut self, _to: Uri) -> Self::Future {
+        let Dial { to, trace, clock, within } = self.clone();
+        Box::pin(async move {
+            let connected = tokio::time::timeout(within, Wire::connect(to, trace, clock)).await;
+            connected.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))
+        })
+    }
+}
+
+struct Lane {
+    client: Client<Dial, Full<Bytes>>,
+    trace: Trace,
+    free_since: Instant,
+    _counted: Arc<()>,
+}
+
+type Free = Arc<Mutex<HashMap<SocketAddr, Vec<Lane>>>>;
+
+struct Out {
+    trace: Trace,
+    task: AbortHandle,
+}
+
+pub struct Pods {
+    free: Free,
+    out: HashMap<DispatchId, Out>,
+    /// One more reference than there are lanes, each of which holds one connection at most.
+    lanes: Arc<()>,
+    lanes_max: usize,
+    transport: Transport,
+    clock: Clock,
+    inputs: mpsc::UnboundedSender<Input>,
+}
+
+impl Pods {
+    pub fn new(
+        lanes_max: usize, transport: Transport, clock: Clock, inputs: mpsc::UnboundedSender<Input>,
+    ) -> Pods {
+        let (free, out) = (Free::default(), HashMap::new());
+        Pods { free, out, lanes: Arc::new(()), lanes_max, transport, clock, inputs }
+    }
+
+    pub fn dispatch(&mut self, id: DispatchId, call: Arc<Call>, to: SocketAddr, wait: Tenths) {
+        let Some(lane) = self.lane(to) else {
+            // No descriptor is left: nothing was sent, and the pod is not to blame.
+            let outcome = Outcome {
+                ending: Ending::Moot,
+                at: self.clock.now(),
+                in_flight: None,
+                reply: Reply::default(),
+            };
+            let _ = self.inputs.send(Input::Ended(id, outcome));
+            return;
+        };
+        let trace = lane.trace.clone();
+        let (clock, inputs, free) = (self.clock, self.inputs.clone(), self.free.clone());
+        let task = tokio::spawn(async move {
+            let outcome = carry_out(&lane, &call, to, wait, clock).await;
+            let _ = inputs.send(Input::Ended(id, outcome));
+            if lane.trace.stands() {
+                let lane = Lane { free_since: Instant::now(), ..lane };
+                free.lock().expect("never held while panicking").entry(to).or_default().push(lane);
+            }
+        });
+        self.out.insert(id, Out { trace, task: task.abort_handle() });
+    }
+
+    /// The one that was used last, so that what is not needed stands idle long enough to go.
+    fn lane(&mut self, to: SocketAddr) -> Option<Lane> {
+        let mut free = self.free.lock().expect("never held while panicking");
+        while let Some(lane) = free.get_mut(&to).and_then(Vec::pop) {
+            if lane.trace.stands() {
+                return Some(lane);
+            }
+        }
+        if Arc::strong_count(&self.lanes) > self.lanes_max {
+            free.values_mut().for_each(|lanes| lanes.retain(|lane| lane.trace.stands()));
+            let oldest = free.iter().filter_map(|(at, lanes)| Some((lanes.first()?.free_since, *at))).min();
+            match oldest {
+                Some((_, at)) => drop(free.get_mut(&at).map(|lanes| lanes.remove(0))),
+                None if Arc::strong_count(&self.lanes) > self.lanes_max => return None,
+                None => {}
+            }
+        }
+        drop(free);
+        let trace = Trace::default();
+        let within = duration(self.transport.connect_timeout);
+        let dial = Dial { to, trace: trace.clone(), clock: self.clock, within };
+        let client = Client::builder(TokioExecutor::new())
+            .retry_canceled_requests(false)
+            .pool_max_idle_per_host(1)
+            .pool_timer(TokioTimer::new())
+            .pool_idle_timeout(duration(self.transport.idle_close.part(IDLE_SHARE)))
+            .build(dial);
+        Some(Lane { client, trace, free_since: Instant::now(), _counted: self.lanes.clone() })
+    }
+
+    /// Its connection is cut before this returns.
+    pub fn give_up(&mut self, id: DispatchId) {
+        if let Some(out) = self.out.remove(&id) {
+            out.trace.cut();
+            out.task.abort();
+        }
+    }
+
+    pub fn over(&mut self, id: DispatchId) {
+        self.out.remove(&id);
+    }
+
+    pub fn drop_idle(&self, to: SocketAddr) {
+        self.free.lock().expect("never held while panicking").remove(&to);
+    }
+}
+
+async fn carry_out(lane: &Lane, call: &Call, to: SocketAddr, wait: Tenths, clock: Clock) -> Outcome {
+    lane.trace.begins(call.body.len());
+    let mut reply = Reply::default();
+    let (mut ending, mut in_flight) = (Ending::Reset, None);
+    match lane.client.request(message(call, to, wait)).await {
+        // Only what the connection itself showed proves that it never ran.
+        Err(_) if !lane.trace.whole() => ending = Ending::NoConnection,
+        Err(_) => {}
+        Ok(answer) => {
+            let (head, body) = answer.into_parts();
+            in_flight = head.headers.get(LOAD).and_then(|load| reported_in_flight(load.to_str().ok()?));
+            if let Ok(body) = Limited::new(body, BODY_MAX).collect().await {
+                ending = told(head.status, &head.headers);
+                reply = Reply { headers: head.headers, body: body.to_bytes() };
+            }
+        }
+    }
+    // What the pod said came with its bytes; the end of a connection has no bytes of its own.
+    let said = matches!(ending, Ending::Succeeded | Ending::Error | Ending::Full);
+    let at = if said { lane.trace.came_at() } else { clock.now() };
+    Outcome { ending, at, in_flight, reply }
+}
+
+fn told(status: StatusCode, headers: &HeaderMap) -> Ending {
+    let unrun = headers.get(NOT_RUN).is_some_and(|v| v == "1");
+    match status {
+        StatusCode::OK => Ending::Succeeded,
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if unrun => Ending::Full,
+        _ => Ending::Error,
+    }
+}
+
+fn message(call: &Call, to: SocketAddr, wait: Tenths) -> Request<Full<Bytes>> {
+    let mut uri = hyper::http::uri::Parts::default();
+    uri.scheme = Some(Scheme::HTTP);
+    uri.authority = Some(to.to_string().parse::<Authority>().expect("a socket address"));
+    uri.path_and_query = Some(call.target.clone());
+    let mut request = Request::new(Full::new(call.body.clone()));
+    *request.method_mut() = call.method.clone();
+    *request.uri_mut() = Uri::from_parts(uri).expect("an address and a path make a target");
+    *request.headers_mut() = call.headers.clone();
+    request.headers_mut().insert(TIME_LIMIT, (wait.0 / 10).max(1).into());
+    request
+}
+
+/// Of a load report the module takes the number of invocations in work; the report's other figures, and
+/// one that is no figure, tell it nothing.
+fn reported_in_flight(report: &str) -> Option<f64> {
+    let pairs = report.split(',').filter_map(|pair| pair.split_once('='));
+    let value = pairs.filter(|(name, _)| name.trim() == "inflight").map(|(_, value)| value).next()?;
+    value.trim().parse().ok().filter(|n: &f64| n.is_finite() && *n >= 0.0)
+}
--- /dev/null
+++ b/crates/stagepond-sidecar/src/reducer.rs
@@ -0,0 +1,365 @@
+//! The only place where state changes: inputs in, effects out. It owns the decision module, the
+//! invocations, the dispatches and what is due when, and is the module's `Host`. It must never read a
+//! clock, touch a socket or decide anything that the module could: equal inputs give equal effects.
+//!
+//! For the module it behaves as the simulator's wire does: dispatches of an invocation are numbered in
+//! order and end exactly once, by the latest at the client's time limit; the first success is the final
+//! answer; what can't be sent is moot; outcomes are told after the final answer too.
+
+use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use stagepond::balance::Balancer;
+use stagepond::host::*;
+
+use crate::lifecycle::{Lifecycle, State};
+use crate::messages::*;
+
+struct Held {
+    ticket: Ticket,
+    call: Arc<Call>,
+    until: Tenths,
+    sent: usize,
+    out: Vec<(usize, DispatchId)>,
+    answered: bool,
+}
+
+struct Dispatch {
+    inv: InvId,
+    nth: usize,
+    at: Tenths,
+    until: Tenths,
+}
+
+/// All but the module; apart from it so that the module can call back.
+struct Ledger {
+    now: Tenths,
+    dispatches_max: usize,
+    second_copies: bool,
+    invs: HashMap<InvId, Held>,
+    open: usize,
+    dispatches: HashMap<DispatchId, Dispatch>,
+    last_dispatch: u64,
+    /// Time-outs of dispatches, and wakes that the module asked for.
+    due: BTreeSet<(Tenths, DispatchId)>,
+    bells: BTreeSet<(Tenths, u64)>,
+    /// Ends that came of a call itself: told when it has returned, as the module can't be entered twice.
+    ended: VecDeque<(InvId, usize, Ending)>,
+    pods: HashMap<PodName, PodId>,
+    addresses: Vec<SocketAddr>,
+    effects: Vec<Effect>,
+}
+
+pub struct Reducer {
+    balancer: Balancer,
+    ledger: Ledger,
+    lifecycle: Lifecycle,
+    connected: bool,
+}
+
+fn id_of(ticket: Ticket) -> InvId {
+    InvId(SmolStr::from(ticket.0.to_string()))
+}
+
+impl Host for Ledger {
+    fn now(&self) -> Tenths {
+        self.now
+    }
+
+    fn dispatch(&mut self, inv: &InvId, pod: PodId, until: Tenths) {
+        let Some(held) = self.invs.get_mut(inv) else { return };
+        let nth = held.sent;
+        held.sent += 1;
+        let until = until.min(held.until);
+        let alone = held.out.is_empty() || self.second_copies;
+        if held.answered || nth >= self.dispatches_max || until <= self.now || !alone {
+            return self.ended.push_back((inv.clone(), nth, Ending::Moot));
+        }
+        self.last_dispatch += 1;
+        let id = DispatchId(self.last_dispatch);
+        held.out.push((nth, id));
+        self.due.insert((until, id));
+        self.dispatches.insert(id, Dispatch { inv: inv.clone(), nth, at: self.now, until });
+        let (call, to) = (held.call.clone(), self.addresses[pod.0 as usize]);
+        self.effects.push(Effect::Dispatch { id, call, to, wait: until - self.now });
+    }
+
+    fn throttle(&mut self, inv: &InvId, stay_away: Tenths) {
+        self.answer(inv, FinalAnswer::Throttled { stay_away });
+    }
+
+    fn terminate(&mut self, inv: &InvId) {
+        self.answer(inv, FinalAnswer::Terminated);
+    }
+
+    fn cancel(&mut self, inv: &InvId, nth: usize) {
+        let out = self.invs.get(inv).and_then(|held| held.out.iter().find(|(n, _)| *n == nth));
+        if let Some(&(_, id)) = out {
+            self.forget(id);
+            self.effects.push(Effect::GiveUp(id));
+            self.ended.push_back((inv.clone(), nth, Ending::Cancelled));
+        }
+    }
+
+    fn wake_in(&mut self, delay: Tenths, token: u64) {
+        self.bells.insert((self.now + delay, token));
+    }
+
+    fn probe(&mut self, _pod: PodId) {
+        self.log("no probes on sockets");
+    }
+
+    fn drop_idle(&mut self, pod: PodId) {
+        self.effects.push(Effect::DropIdle(self.addresses[pod.0 as usize]));
+    }
+
+    fn tell(&mut self, to: Option<Peer>, words: &[u8]) {
+        self.effects.push(Effect::Tell { to, words: words.to_vec() });
+    }
+
+    fn vote(&mut self, build: Build, stage: u32, verdict: Verdict) {
+        self.effects.push(Effect::Vote { build, stage, verdict: Some(verdict) });
+    }
+
+    fn withdraw_vote(&mut self, build: Build, stage: u32) {
+        self.effects.push(Effect::Vote { build, stage, verdict: None });
+    }
+
+    /// The watch always stands here, so there is nothing to ask for.
+    fn subscribe(&mut self, _wanted: bool) {}
+
+    fn reload(&mut self) {
+        self.effects.push(Effect::Reload);
+    }
+
+    fn log(&mut self, words: &str) {
+        self.effects.push(Effect::Log(words.to_string()));
+    }
+}
+
+impl Ledger {
+    fn answer(&mut self, inv: &InvId, answer: FinalAnswer) {
+        if let Some(held) = self.invs.get_mut(inv).filter(|held| !held.answered) {
+            held.answered = true;
+            self.open -= 1;
+            self.effects.push(Effect::Answer(held.ticket, answer));
+        }
+        self.forget_if_over(inv);
+    }
+
+    fn forget_if_over(&mut self, inv: &InvId) {
+        let over = |held: &Held| held.answered && held.out.is_empty();
+        if self.invs.get(inv).is_some_and(over) && !self.ended.iter().any(|(ended, ..)| ended == inv) {
+            self.invs.remove(inv);
+        }
+    }
+
+    /// A dispatch is over: whatever else comes of it is not told.
+    fn forget(&mut self, id: DispatchId) -> Option<Dispatch> {
+        let dispatch = self.dispatches.remove(&id)?;
+        self.due.remove(&(dispatch.until, id));
+        if let Some(held) = self.invs.get_mut(&dispatch.inv) {
+            held.out.retain(|(_, out)| *out != id);
+        }
+        Some(dispatch)
+    }
+
+    fn next_due(&self) -> Tenths {
+        let dispatch = self.due.first().map_or(Tenths::NEVER, |(at, _)| *at);
+        dispatch.min(self.bells.first().map_or(Tenths::NEVER, |(at, _)| *at))
+    }
+}
+
+impl Reducer {
+    /// Starts the module on what the configuration holds, in the order in which the simulator tells it.
+    pub fn new(
+        now: Tenths, facts: Facts, seed: u64, known: List, standing: Option<Standing>,
+    ) -> (Reducer, Vec<Effect>) {
+        let ledger = Ledger {
+            now,
+            dispatches_max: facts.dispatches_max,
+            second_copies: facts.second_copies,
+            invs: HashMap::new(),
+            open: 0,
+            dispatches: HashMap::new(),
+            last_dispatch: 0,
+            due: BTreeSet::new(),
+            bells: BTreeSet::new(),
+            ended: VecDeque::new(),
+            pods: HashMap::new(),
+            addresses: Vec::new(),
+            effects: Vec::new(),
+        };
+        let mut reducer = Reducer {
+            balancer: Balancer::new(facts, seed),
+            ledger,
+            lifecycle: Lifecycle::new(now),
+            connected: false,
+        };
+        reducer.ledger.effects.push(Effect::Enter(State::Starting));
+        reducer.balancer.started(&mut reducer.ledger);
+        reducer.list(known);
+        if let Some(standing) = standing {
+            reducer.standing(Ok(standing), false);
+        }
+        reducer.settle();
+        let effects = std::mem::take(&mut reducer.ledger.effects);
+        (reducer, effects)
+    }
+
+    /// When `Input::Tick` is to come at the latest.
+    pub fn next_due(&self) -> Tenths {
+        self.ledger.next_due().min(self.lifecycle.next())
+    }
+
+    pub fn apply(&mut self, now: Tenths, input: Input) -> Vec<Effect> {
+        self.ledger.now = self.ledger.now.max(now);
+        match input {
+            Input::Arrived { ticket, call, op, until } => self.arrived(ticket, call, op, until),
+            Input::Left(ticket) => self.left(&id_of(ticket)),
+            Input::Ended(id, outcome) => self.ended(id, outcome),
+            Input::Listed(list) => {
+                self.list(list);
+                self.may_place(true);
+            }
+            Input::ListBroke => self.balancer.list_broke(&mut self.ledger),
+            Input::Standing(standing) => self.standing(Ok(standing), false),
+            Input::VoteAnswered(answer) => self.standing(answer, true),
+            Input::Disputed { pod, op, age } => {
+                if let Some(&pod) = self.ledger.pods.get(&pod) {
+                    self.balancer.objection(&mut self.ledger, pod, op, age);
+                }
+            }
+            Input::Mail { from, words } => self.balancer.peer(&mut self.ledger, from, &words),
+            Input::Tick => self.tick(),
+            Input::Leave => {
+                let state = self.lifecycle.leave(self.ledger.now);
+                self.enter(state);
+            }
+            Input::ListenerClosed => {
+                let state = self.lifecycle.listener_closed(self.ledger.now);
+                self.connected |= state.is_some();
+                self.enter(state);
+            }
+            Input::FrontEmpty => self.connected = false,
+        }
+        self.settle();
+        std::mem::take(&mut self.ledger.effects)
+    }
+
+    fn enter(&mut self, state: Option<State>) {
+        self.ledger.effects.extend(state.map(Effect::Enter));
+    }
+
+    fn may_place(&mut self, fresh: bool) {
+        if !self.ledger.pods.is_empty() {
+            let state = self.lifecycle.may_place(self.ledger.now, fresh);
+            self.enter(state);
+        }
+    }
+
+    /// Tells the module of the ends that its last calls brought about, until there are none.
+    fn settle(&mut self) {
+        while let Some((inv, nth, ending)) = self.ledger.ended.pop_front() {
+            self.tell(&inv, nth, Tenths(0), ending, None);
+        }
+        let state = self.lifecycle.settle(self.ledger.now, self.ledger.open, self.connected);
+        self.enter(state);
+    }
+
+    fn tell(&mut self, inv: &InvId, nth: usize, took: Tenths, ending: Ending, in_flight: Option<f64>) {
+        let last = self.ledger.invs.get(inv).is_none_or(|held| held.answered);
+        self.balancer.outcome(&mut self.ledger, inv, last, nth, took, ending, in_flight);
+        self.ledger.forget_if_over(inv);
+    }
+
+    fn arrived(&mut self, ticket: Ticket, call: Arc<Call>, op: Op, until: Tenths) {
+        let inv = id_of(ticket);
+        let held = Held { ticket, call, until, sent: 0, out: Vec::new(), answered: false };
+        self.ledger.invs.insert(inv.clone(), held);
+        self.ledger.open += 1;
+        self.balancer.invocation(&mut self.ledger, inv, None, op, until);
+    }
+
+    fn left(&mut self, inv: &InvId) {
+        let Some(held) = self.ledger.invs.get_mut(inv).filter(|held| !held.answered) else { return };
+        held.answered = true;
+        self.ledger.open -= 1;
+        self.balancer.aborted(&mut self.ledger, inv);
+        self.ledger.forget_if_over(inv);
+    }
+
+    fn ended(&mut self, id: DispatchId, outcome: Outcome) {
+        let Some(Dispatch { inv, nth, at, .. }) = self.ledger.forget(id) else { return };
+        let Outcome { ending, at: ended_at, in_flight, reply } = outcome;
+        if ending == Ending::Succeeded {
+            // Answered first: nothing that the module does on hearing of it may come before.
+            if let Some(held) = self.ledger.invs.get_mut(&inv).filter(|held| !held.answered) {
+                held.answered = true;
+                self.ledger.open -= 1;
+                self.ledger.effects.push(Effect::Answer(held.ticket, FinalAnswer::Succeeded(reply)));
+            }
+        }
+        let took = Tenths((ended_at - at).0.max(0));
+        self.tell(&inv, nth, took, ending, in_flight);
+    }
+
+    fn tick(&mut self) {
+        let now = self.ledger.now;
+        while let Some(&(until, id)) = self.ledger.due.first().filter(|(until, _)| *until <= now) {
+            let Some(Dispatch { inv, nth, at, .. }) = self.ledger.forget(id) else { break };
+            // The connection goes before the module hears of it, and so before any further dispatch.
+            self.ledger.effects.push(Effect::GiveUp(id));
+            self.tell(&inv, nth, until - at, Ending::TimedOut, None);
+        }
+        // Only what is due now: the module sets a next wake on each.
+        let later = self.ledger.bells.split_off(&(now + Tenths(1), 0));
+        for (_, token) in std::mem::replace(&mut self.ledger.bells, later) {
+            self.balancer.wake(&mut self.ledger, token);
+        }
+        if self.lifecycle.state() == State::Starting {
+            self.may_place(false);
+        }
+        if self.lifecycle.listened_enough(now) {
+            self.ledger.effects.push(Effect::CloseListener);
+        }
+    }
+
+    fn list(&mut self, list: List) {
+        self.balancer.list_begins(list.whole);
+        for row in list.rows {
+            let next = PodId(self.ledger.addresses.len() as u32);
+            let pod = *self.ledger.pods.entry(row.name).or_insert(next);
+            if pod == next {
+                self.ledger.addresses.push(row.address);
+            }
+            // A pod keeps its name when it moves; nothing that is idle at the old address serves any more.
+            let old = std::mem::replace(&mut self.ledger.addresses[pod.0 as usize], row.address);
+            if old != row.address || row.availability != Availability::Up {
+                self.ledger.effects.push(Effect::DropIdle(old));
+            }
+            self.balancer.pod(
+                pod,
+                row.kind,
+                row.zone,
+                row.availability,
+                row.cell,
+                row.weight,
+                row.born,
+                row.build,
+            );
+        }
+        self.balancer.list_ends(&mut self.ledger);
+    }
+
+    fn standing(&mut self, answer: Result<Standing, Ending>, to_vote: bool) {
+        let none = Standing { build: Build(0), stage: 0, phase: Phase::Trial, cap: 0.0, since: Tenths(0) };
+        let (s, ending) = match answer {
+            Ok(standing) => (standing, Ending::Succeeded),
+            Err(ending) => (none, ending),
+        };
+        let host = &mut self.ledger;
+        self.balancer.stage(host, s.build, s.stage, s.since, s.phase, to_vote, s.cap, ending);
+    }
+}
--- /dev/null
+++ b/crates/stagepond-sidecar/src/shell.rs
@@ -0,0 +1,128 @@
+//! The one loop: takes inputs, gives them to the reducer, carries out the effects it asks for, keeps its
+//! next due time. It owns the channels and the parts on sockets; it must never hold state of its own about
+//! invocations, pods or builds.
+
+use std::sync::Arc;
+
+use anyhow::{Context, Result};
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::{mpsc, Notify};
+
+use crate::front::{Front, Operations};
+use crate::launch::Launch;
+use crate::lifecycle::State;
+use crate::messages::*;
+use crate::peers::Peers;
+use crate::platform::{self, Vote};
+use crate::pods::{duration, Pods};
+use crate::reducer::Reducer;
+use crate::{discovery, peers};
+
+/// Descriptors for all but clients and pods: listener, datagrams, discovery, platform, votes, the runtime's
+/// own, and a few on their way out.
+const SPARE_SOCKETS: usize = 48;
+/// An invocation has one client and mostly one dispatch out; a dispatch may outlive its client.
+const FRONT_SHARE: f64 = 0.45;
+/// News that wait for the loop; beyond it their senders wait.
+const NEWS_QUEUE: usize = 64;
+/// A list passes three tasks from its socket to this loop: one turn of the runtime for each.
+const TURNS: usize = 3;
+const VOTE_WAIT_MIN_MS: u64 = 100;
+
+pub async fn serve(launch: Launch) -> Result<()> {
+    let clock = Clock::start();
+    let mut leave = signal(SignalKind::terminate()).context("SIGTERM")?;
+    let mut interrupt = signal(SignalKind::interrupt()).context("SIGINT")?;
+    let (inputs, mut taken) = mpsc::unbounded_channel();
+    let (news, mut told) = mpsc::channel(NEWS_QUEUE);
+    let (names, me) = (Arc::new(launch.names), launch.facts.me);
+
+    let shared = launch.transport.sockets - SPARE_SOCKETS.min(launch.transport.sockets / 2);
+    let clients_max = (shared as f64 * FRONT_SHARE) as usize;
+    let repeats = launch.facts.operations.iter().map(|o| o.repeat);
+    let operations = Operations(names.operations.iter().cloned().zip(repeats).collect());
+    let front = Front::new(operations, clients_max, clock, inputs.clone());
+    let mut pods = Pods::new(shared - clients_max, launch.transport, clock, inputs.clone());
+    let peers = match launch.peer_listen {
+        Some(at) => Some(Peers::bind(at, launch.peers, launch.peers_all).await?),
+        None => None,
+    };
+    if let Some(peers) = &peers {
+        tokio::spawn(peers.listen(me, news.clone()));
+    }
+    let whole = Arc::new(Notify::new());
+    let index = launch.known.index;
+    tokio::spawn(discovery::watch(launch.discovery, index, names.clone(), whole.clone(), news.clone()));
+    let (votes, wanted) = mpsc::unbounded_channel();
+    let vote_wait = duration(launch.facts.vote_wait).max(std::time::Duration::from_millis(VOTE_WAIT_MIN_MS));
+    if let Some(address) = launch.platform {
+        tokio::spawn(platform::listen(address, names.clone(), news.clone()));
+        tokio::spawn(platform::votes(address, wanted, news.clone()));
+    }
+    tokio::spawn(front.listen(launch.listen)?);
+    tracing::info!(name = launch.name, listen = %launch.listen, clients_max, "listening");
+    launch.missing.iter().for_each(|what| tracing::warn!("the settings have {what}: not there on sockets"));
+
+    let (mut reducer, mut effects) =
+        Reducer::new(clock.now(), launch.facts, launch.seed, launch.known, launch.standing);
+    let mut batch = Vec::new();
+    loop {
+        for effect in effects.drain(..) {
+            match effect {
+                Effect::Dispatch { id, call, to, wait } => pods.dispatch(id, call, to, wait),
+                Effect::GiveUp(id) => pods.give_up(id),
+                Effect::Answer(ticket, answer) => front.answer(ticket, answer),
+                Effect::DropIdle(to) => pods.drop_idle(to),
+                Effect::Tell { to, words } => drop(peers.as_ref().map(|p: &peers::Peers| p.tell(to, &words))),
+                Effect::Vote { build, stage, verdict } => {
+                    let until = tokio::time::Instant::now() + vote_wait;
+                    let _ = votes.send(Vote { build, stage, verdict, until });
+                }
+                Effect::Reload => whole.notify_one(),
+                Effect::CloseListener => front.close_listener(),
+                Effect::Log(words) => tracing::info!("{words}"),
+                Effect::Enter(state) => {
+                    tracing::info!(?state, "phase");
+                    match state {
+                        State::Starting => {}
+                        State::Ready => front.set_ready(true),
+                        State::Leaving => {
+                            front.set_ready(false);
+                            front.leave();
+                        }
+                        State::Draining => front.close_all(),
+                        State::Stopped => return Ok(()),
+                    }
+                }
+            }
+        }
+        let due = clock.instant(reducer.next_due()).into();
+        tokio::select! {
+            biased;
+            _ = leave.recv() => batch.push(Input::Leave),
+            _ = interrupt.recv() => batch.push(Input::Leave),
+            Some(input) = told.recv() => batch.push(input),
+            Some(input) = taken.recv() => batch.push(input),
+            () = tokio::time::sleep_until(due) => {}
+        }
+        // After a stop of this process everything waits at once: what came of lists is read before the rest.
+        for _ in 0..TURNS {
+            tokio::task::yield_now().await;
+        }
+        let first = batch.len();
+        while let Ok(input) = told.try_recv() {
+            batch.push(input);
+        }
+        batch.rotate_left(first);
+        while let Ok(input) = taken.try_recv() {
+            batch.push(input);
+        }
+        batch.push(Input::Tick);
+        for input in batch.drain(..) {
+            if let Input::Ended(id, _) = &input {
+                pods.over(*id);
+            }
+            effects.extend(reducer.apply(clock.now(), input));
+        }
+    }
+}
--- a/crates/stagepond-simhost/src/wire.rs
+++ b/crates/stagepond-simhost/src/wire.rs
@@ -9,8 +9,7 @@
 use base64::{engine::general_purpose::STANDARD, Engine};
 use stagepond::balance::Balancer;
 use stagepond::host::*;
-
-use crate::facts::{self, Names};
+use stagepond_facts::Names;
 
 struct Instance {
     balancer: Balancer,
@@ -221,7 +220,8 @@
         let mut out = Out { now: self.now, sidecar, text };
         if name == "START" {
             let seed: i128 = parts.parse("nonce64")?;
-            let (facts, names) = facts::read(parts.rest.unwrap_or_default())?;
+            let settings = serde_json::from_str(parts.rest.unwrap_or_default()).context("settings")?;
+            let (facts, names) = stagepond_facts::read(&settings)?;
             let mut balancer = Balancer::new(facts, seed as u64);
             balancer.started(&mut out);
             self.instances.insert(sidecar, Instance { balancer, names });
