--- a/crates/stagepond-sidecar/src/pods.rs
+++ b/crates/stagepond-sidecar/src/pods.rs
@@ -29,6 +29,8 @@
 /// A pod may close what stood idle for the whole time; what is written just then would be a reset.
 const IDLE_SHARE: f64 = 0.8;
 const LOAD: &str = "x-server-load";
+/// How the settings name the number of invocations in work, and how the protocol page does.
+const IN_FLIGHT: [&str; 2] = ["rif", "inflight"];
 const NOT_RUN: &str = "x-not-processed";
 const TIME_LIMIT: &str = "x-timeout-ms";
 
@@ -216,6 +218,6 @@
 /// one that is no figure, tell it nothing.
 fn reported_in_flight(report: &str) -> Option<f64> {
     let pairs = report.split(',').filter_map(|pair| pair.split_once('='));
-    let value = pairs.filter(|(name, _)| name.trim() == "inflight").map(|(_, value)| value).next()?;
+    let value = pairs.filter(|(name, _)| IN_FLIGHT.contains(&name.trim())).map(|(_, value)| value).next()?;
     value.trim().parse().ok().filter(|n: &f64| n.is_finite() && *n >= 0.0)
 }
