--- a/crates/stagepond-sidecar/src/front.rs
+++ b/crates/stagepond-sidecar/src/front.rs
@@ -19,6 +19,7 @@
 use hyper::server::conn::http1;
 use hyper::{HeaderMap, Method, StatusCode, Uri};
 use hyper_util::service::TowerToHyperService;
+use nix::sys::socket::{setsockopt, sockopt};
 use stagepond::host::{Op, Repeat, Tenths};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{mpsc, oneshot, Notify};
@@ -127,19 +128,21 @@
         self.close_listener.notify_one();
     }
 
-    /// Binds; what it returns accepts until `close_listener`, then takes what still waits and ends.
-    pub fn listen(
-        self: &Arc<Front>, at: SocketAddr,
-    ) -> Result<impl std::future::Future<Output = ()> + Send + 'static> {
+    /// Binds, and tells where; accepts until `close_listener`, then takes what still waits and ends.
+    pub fn listen(self: &Arc<Front>, at: SocketAddr) -> Result<SocketAddr> {
         let bind = || -> std::io::Result<TcpListener> {
             let socket = if at.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
             // A successor starts on the same address while connections of this process are still closing.
             socket.set_reuseaddr(true)?;
+            // Connections inherit it, and so the system stamps their first bytes too.
+            let _ = setsockopt(&socket, sockopt::ReceiveTimestampns, &true);
             socket.bind(at)?;
             socket.listen(BACKLOG)
         };
         let listener = bind().with_context(|| format!("listen: {at}"))?;
-        Ok(self.clone().accept(listener))
+        let at = listener.local_addr()?;
+        tokio::spawn(self.clone().accept(listener));
+        Ok(at)
     }
 
     async fn accept(self: Arc<Front>, listener: TcpListener) {
--- a/crates/stagepond-sidecar/src/lifecycle.rs
+++ b/crates/stagepond-sidecar/src/lifecycle.rs
@@ -28,15 +28,12 @@
     since: Tenths,
     busy_at: Tenths,
     closing: bool,
+    waited: bool,
 }
 
 impl Lifecycle {
     pub fn new(now: Tenths) -> Lifecycle {
-        Lifecycle { state: State::Starting, since: now, busy_at: now, closing: false }
-    }
-
-    pub fn state(&self) -> State {
-        self.state
+        Lifecycle { state: State::Starting, since: now, busy_at: now, closing: false, waited: false }
     }
 
     fn enter(&mut self, state: State, now: Tenths) -> Option<State> {
@@ -44,10 +41,11 @@
         Some(state)
     }
 
-    /// A list has come, or has had its time to come and an old one must do.
-    pub fn may_place(&mut self, now: Tenths, fresh: bool) -> Option<State> {
-        let due = fresh || now >= self.since + OLD_LIST_AFTER;
-        (self.state == State::Starting && due).then(|| self.enter(State::Ready, now)).flatten()
+    /// With pods `known` from a fresh list, or from an old one once a fresh one has had its time to come.
+    pub fn may_place(&mut self, now: Tenths, known: bool, fresh: bool) -> Option<State> {
+        self.waited |= now >= self.since + OLD_LIST_AFTER;
+        let may = self.state == State::Starting && known && (fresh || self.waited);
+        may.then(|| self.enter(State::Ready, now)).flatten()
     }
 
     pub fn leave(&mut self, now: Tenths) -> Option<State> {
@@ -78,10 +76,10 @@
     /// When time alone moves it on.
     pub fn next(&self) -> Tenths {
         match self.state {
-            State::Starting => self.since + OLD_LIST_AFTER,
+            State::Starting if !self.waited => self.since + OLD_LIST_AFTER,
             State::Leaving if !self.closing => self.since + LEAVING_FOR,
             State::Draining => self.busy_at + FLUSH_FOR,
-            State::Leaving | State::Ready | State::Stopped => Tenths::NEVER,
+            _ => Tenths::NEVER,
         }
     }
 }
--- a/crates/stagepond-sidecar/src/main.rs
+++ b/crates/stagepond-sidecar/src/main.rs
@@ -10,6 +10,8 @@
 mod pods;
 mod reducer;
 mod shell;
+#[cfg(test)]
+mod stories;
 mod stream;
 mod wire;
 
--- a/crates/stagepond-sidecar/src/peers.rs
+++ b/crates/stagepond-sidecar/src/peers.rs
@@ -29,6 +29,10 @@
         Ok(Peers { socket, addresses, all, complaints: Complaints::default() })
     }
 
+    pub fn address(&self) -> Option<SocketAddr> {
+        self.socket.local_addr().ok()
+    }
+
     /// Never waits: a datagram that the system can't take now is one of those that get lost.
     pub fn tell(&self, to: Option<Peer>, words: &[u8]) {
         let address = match to {
--- a/crates/stagepond-sidecar/src/reducer.rs
+++ b/crates/stagepond-sidecar/src/reducer.rs
@@ -253,10 +253,8 @@
     }
 
     fn may_place(&mut self, fresh: bool) {
-        if !self.ledger.pods.is_empty() {
-            let state = self.lifecycle.may_place(self.ledger.now, fresh);
-            self.enter(state);
-        }
+        let state = self.lifecycle.may_place(self.ledger.now, !self.ledger.pods.is_empty(), fresh);
+        self.enter(state);
     }
 
     /// Tells the module of the ends that its last calls brought about, until there are none.
@@ -318,9 +316,7 @@
         for (_, token) in std::mem::replace(&mut self.ledger.bells, later) {
             self.balancer.wake(&mut self.ledger, token);
         }
-        if self.lifecycle.state() == State::Starting {
-            self.may_place(false);
-        }
+        self.may_place(false);
         if self.lifecycle.listened_enough(now) {
             self.ledger.effects.push(Effect::CloseListener);
         }
@@ -362,4 +358,10 @@
         let host = &mut self.ledger;
         self.balancer.stage(host, s.build, s.stage, s.since, s.phase, to_vote, s.cap, ending);
     }
+
+    /// How many invocations are known, and how many dispatches are out.
+    #[cfg(test)]
+    pub fn sizes(&self) -> (usize, usize) {
+        (self.ledger.invs.len(), self.ledger.dispatches.len())
+    }
 }
--- a/crates/stagepond-sidecar/src/shell.rs
+++ b/crates/stagepond-sidecar/src/shell.rs
@@ -8,6 +8,7 @@
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::{mpsc, Notify};
 
+use crate::discovery;
 use crate::front::{Front, Operations};
 use crate::launch::Launch;
 use crate::lifecycle::State;
@@ -16,7 +17,6 @@
 use crate::platform::{self, Vote};
 use crate::pods::{duration, Pods};
 use crate::reducer::Reducer;
-use crate::{discovery, peers};
 
 /// Descriptors for all but clients and pods: listener, datagrams, discovery, platform, votes, the runtime's
 /// own, and a few on their way out.
@@ -59,8 +59,9 @@
         tokio::spawn(platform::listen(address, names.clone(), news.clone()));
         tokio::spawn(platform::votes(address, wanted, news.clone()));
     }
-    tokio::spawn(front.listen(launch.listen)?);
-    tracing::info!(name = launch.name, listen = %launch.listen, clients_max, "listening");
+    let at = front.listen(launch.listen)?;
+    let datagrams = peers.as_ref().and_then(Peers::address).map_or("none".into(), |at| at.to_string());
+    tracing::info!(name = launch.name, clients = %at, %datagrams, clients_max, "listening");
     launch.missing.iter().for_each(|what| tracing::warn!("the settings have {what}: not there on sockets"));
 
     let (mut reducer, mut effects) =
@@ -73,7 +74,7 @@
                 Effect::GiveUp(id) => pods.give_up(id),
                 Effect::Answer(ticket, answer) => front.answer(ticket, answer),
                 Effect::DropIdle(to) => pods.drop_idle(to),
-                Effect::Tell { to, words } => drop(peers.as_ref().map(|p: &peers::Peers| p.tell(to, &words))),
+                Effect::Tell { to, words } => drop(peers.as_ref().map(|peers| peers.tell(to, &words))),
                 Effect::Vote { build, stage, verdict } => {
                     let until = tokio::time::Instant::now() + vote_wait;
                     let _ = votes.send(Vote { build, stage, verdict, until });
--- a/crates/stagepond-sidecar/src/wire.rs
+++ b/crates/stagepond-sidecar/src/wire.rs
@@ -2,20 +2,27 @@
 //! written whole, whether it still stands. It owns the descriptor, so that another part can cut it at once;
 //! it must never change, delay or understand what passes, beyond finding where a message ends.
 
-use std::io;
+use std::io::{self, IoSliceMut};
 use std::net::{Shutdown, SocketAddr};
+use std::os::fd::AsRawFd;
 use std::pin::Pin;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::task::{ready, Context, Poll};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper_util::client::legacy::connect::{Connected, Connection};
+use nix::sys::socket::{recvmsg, setsockopt, sockopt, ControlMessageOwned, MsgFlags};
+use nix::sys::time::TimeSpec;
 use stagepond::host::Tenths;
+use tokio::io::Interest;
 use tokio::net::TcpStream;
 
 use crate::messages::Clock;
 
 const READ_AT_ONCE: usize = 16 << 10;
+/// Bytes can have waited for as long as this process stood still; more than this is a step of the clock.
+const WAITED_MAX: Duration = Duration::from_secs(60);
 
 /// How far the message being written has gone, found in the bytes that the system took.
 #[derive(Clone, Copy, Debug, Default)]
@@ -98,6 +105,7 @@
 impl Wire {
     pub fn new(stream: TcpStream, trace: Trace, clock: Clock) -> io::Result<Wire> {
         stream.set_nodelay(true)?;
+        let _ = setsockopt(&stream, sockopt::ReceiveTimestampns, &true);
         let stream = Arc::new(stream);
         let mut state = trace.state();
         if state.cut {
@@ -113,6 +121,22 @@
     }
 }
 
+/// Reads, and tells for how long the last of what came has waited: this process may have been busy, or
+/// stopped, since the system took it in, and time limits go on meanwhile.
+fn receive(stream: &TcpStream, into: &mut [u8]) -> io::Result<(usize, Option<Duration>)> {
+    let mut control = nix::cmsg_space!(TimeSpec);
+    let mut slices = [IoSliceMut::new(into)];
+    let none = MsgFlags::empty();
+    let came = recvmsg::<()>(stream.as_raw_fd(), &mut slices, Some(&mut control), none)?;
+    let stamp = came.cmsgs()?.find_map(|message| match message {
+        ControlMessageOwned::ScmTimestampns(stamp) => Some(Duration::from(stamp)),
+        _ => None,
+    });
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let waited = stamp.and_then(|stamp| now.checked_sub(stamp)).filter(|waited| *waited < WAITED_MAX);
+    Ok((came.bytes, waited))
+}
+
 impl Drop for Wire {
     fn drop(&mut self) {
         self.trace.state().stream = None;
@@ -133,10 +157,13 @@
         let most = into.remaining().min(READ_AT_ONCE);
         loop {
             ready!(self.stream.poll_read_ready(cx))?;
-            match self.stream.try_read(&mut bytes[..most]) {
-                Ok(len) => {
+            let read = || receive(&self.stream, &mut bytes[..most]);
+            match self.stream.try_io(Interest::READABLE, read) {
+                Ok((len, waited)) => {
                     if len > 0 {
-                        self.trace.state().came_at = self.clock.now();
+                        // Where the system can't stamp, the time of the read has to do.
+                        let waited = Tenths((waited.unwrap_or_default().as_micros() / 100) as i64);
+                        self.trace.state().came_at = self.clock.now() - waited;
                     }
                     into.put_slice(&bytes[..len]);
                     return Poll::Ready(Ok(()));
@@ -171,3 +198,54 @@
         Poll::Ready(socket2::SockRef::from(&*self.stream).shutdown(Shutdown::Write))
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use rstest::rstest;
+
+    use super::*;
+
+    /// "Broken before the last byte" proves that it never ran: so not a byte too early, however it is cut.
+    #[rstest]
+    #[case::without_a_body("GET / HTTP/1.1\r\nhost: a\r\n\r\n", 0)]
+    #[case::with_a_body("POST / HTTP/1.1\r\ncontent-length: 6\r\n\r\n\r\n\r\nab", 6)]
+    fn a_message_is_whole_with_its_last_byte_only(#[case] message: &str, #[case] body: usize) {
+        for cut in 0..=message.len() {
+            let mut progress = Progress { head_end: 0, body_left: body };
+            progress.took(&message.as_bytes()[..cut]);
+            assert_eq!(progress.whole(), cut == message.len(), "cut at {cut}");
+            progress.took(&message.as_bytes()[cut..]);
+            assert!(progress.whole());
+        }
+    }
+
+    #[rstest]
+    #[tokio::test]
+    async fn bytes_are_stamped_when_they_came_not_when_they_are_read() {
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let to = listener.local_addr().unwrap();
+        let (trace, clock) = (Trace::default(), Clock::start());
+        let mut wire = Wire::connect(to, trace.clone(), clock).await.unwrap();
+        let (peer, _) = listener.accept().await.unwrap();
+        // The system begins to stamp a moment after it is first asked to.
+        loop {
+            peer.writable().await.unwrap();
+            peer.try_write(b"early").unwrap();
+            wire.stream.readable().await.unwrap();
+            let read = wire.stream.try_io(Interest::READABLE, || receive(&wire.stream, &mut [0; 8]));
+            if read.is_ok_and(|(_, waited)| waited.is_some()) {
+                break;
+            }
+        }
+        assert_eq!(peer.try_write(b"late").unwrap(), 4);
+        let sent = clock.now();
+        // This thread is the whole runtime: nothing reads while it stands still.
+        std::thread::sleep(Duration::from_millis(60));
+        let mut into = [0; 8];
+        let mut buffer = hyper::rt::ReadBuf::new(&mut into);
+        let read = |cx: &mut Context| Pin::new(&mut wire).poll_read(cx, buffer.unfilled());
+        std::future::poll_fn(read).await.unwrap();
+        let late = trace.came_at() - sent;
+        assert!(late.0.abs() < 400, "stamped {} tenths of a ms after it was sent", late.0);
+    }
+}
