--- a/crates/stagepond-sidecar/src/launch.rs
+++ b/crates/stagepond-sidecar/src/launch.rs
@@ -116,7 +116,7 @@
         Some(Value::String(word)) => word == "pull",
         _ => false,
     };
-    let streams = |class: &Value| class.pointer("/streaming") == Some(&Value::Bool(true));
+    let streams = |operation: &Value| operation.pointer("/streaming") == Some(&Value::Bool(true));
     if stagepond_facts::list(&form.settings, "/classes")?.iter().any(streams) {
         bail!("settings: /classes: streamed answers are not there on sockets");
     }
--- a/crates/stagepond-sidecar/src/main.rs
+++ b/crates/stagepond-sidecar/src/main.rs
@@ -62,9 +62,9 @@
             let launch = read(config)?;
             // One thread: a sidecar has one core, and so the order of inputs is the order of effects.
             let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-            let served = runtime.block_on(shell::serve(launch));
+            let ended = runtime.block_on(shell::serve(launch));
             runtime.shutdown_background();
-            served
+            ended
         }
         Some("check") => {
             let launch = read(config)?;
--- a/crates/stagepond-sidecar/src/pods.rs
+++ b/crates/stagepond-sidecar/src/pods.rs
@@ -217,12 +217,12 @@
     uri.scheme = Some(Scheme::HTTP);
     uri.authority = Some(to.to_string().parse::<Authority>().expect("a socket address"));
     uri.path_and_query = Some(call.target.clone());
-    let mut request = Request::new(Full::new(call.body.clone()));
-    *request.method_mut() = call.method.clone();
-    *request.uri_mut() = Uri::from_parts(uri).expect("an address and a path make a target");
-    *request.headers_mut() = call.headers.clone();
-    request.headers_mut().insert(TIME_LIMIT, (wait.0 / 10).max(1).into());
-    request
+    let mut message = Request::new(Full::new(call.body.clone()));
+    *message.method_mut() = call.method.clone();
+    *message.uri_mut() = Uri::from_parts(uri).expect("an address and a path make a target");
+    *message.headers_mut() = call.headers.clone();
+    message.headers_mut().insert(TIME_LIMIT, (wait.0 / 10).max(1).into());
+    message
 }
 
 /// Of a load report the module takes the number of invocations in work; the report's other figures tell it
