--- a/crates/stagepond-sidecar/tests/program.rs
+++ b/crates/stagepond-sidecar/tests/program.rs
@@ -416,6 +416,19 @@
     assert_eq!(sidecar.discovery.came().await.target(), "/v1/endpoints?stream=1&index=42");
 }
 
+#[rstest]
+#[tokio::test]
+async fn a_watch_that_falls_silent_amid_a_line_is_opened_again_from_the_last_version() {
+    let mut pod = pod().await;
+    let mut sidecar = Sidecar::start(&[pod.address]).await;
+    sidecar.lists(list(42, false, &[entry("pod-0", pod.address, "terminating", 1)]).trim_end());
+    let again = sidecar.discovery.came().await;
+    assert_eq!(again.target(), "/v1/endpoints?stream=1&index=41");
+    again.open("application/json");
+    again.chunk(&list(42, false, &[entry("pod-0", pod.address, "in_service", 1)]));
+    succeeds(&mut sidecar.client().await, &mut pod).await;
+}
+
 #[rstest]
 #[tokio::test]
 async fn lists_that_came_while_it_stood_still_are_read_before_what_waits_behind_them() {
