--- a/crates/stagepond-sidecar/src/discovery.rs
+++ b/crates/stagepond-sidecar/src/discovery.rs
@@ -10,7 +10,7 @@
 use serde_json::Value;
 use stagepond::host::*;
 use stagepond_facts::Names;
-use tokio::sync::{mpsc, Notify};
+use tokio::sync::{mpsc, watch, Notify};
 
 use crate::messages::*;
 use crate::stream::{self, Complaints};
@@ -82,46 +82,65 @@
     Ok(List { index: line.index, whole: line.snapshot, rows })
 }
 
-/// Watches for as long as the program runs. `whole` asks for the whole list once more.
+/// Watches for as long as the program runs. `whole` asks for the whole list once more; a move to another
+/// address does too, as another agent need not count its versions as the last one did.
 pub async fn watch(
-    address: SocketAddr, mut index: u64, names: Arc<Names>, whole: Arc<Notify>, inputs: mpsc::Sender<Input>,
+    mut place: watch::Receiver<SocketAddr>, mut index: u64, names: Arc<Names>, whole: Arc<Notify>,
+    inputs: mpsc::Sender<Input>,
 ) {
     let complaints = Complaints::default();
     loop {
-        let since = if index > 0 { format!("&index={index}") } else { String::new() };
-        let target = format!("/v1/endpoints?stream=1{since}");
-        let why = match stream::open(address, &target, LINE_MAX).await {
-            Ok(mut lines) => loop {
-                let line = tokio::select! {
-                    line = lines.next(SILENCE) => line,
-                    () = whole.notified() => {
-                        index = 0;
-                        break anyhow!("the whole list is asked for");
-                    }
-                };
-                let list = match line {
-                    Ok(line) if line.trim().is_empty() => continue,
-                    Ok(line) => serde_json::from_str(&line).map_err(Into::into),
-                    Err(error) => break error,
-                };
-                match list.and_then(|list| decode(list, &names)) {
-                    Ok(list) => {
-                        index = list.index;
-                        if inputs.send(Input::Listed(list)).await.is_err() {
-                            return;
-                        }
-                    }
-                    // What it said can't be known, so changes after it can't be trusted either.
-                    Err(error) => break error.context("a line of the list"),
-                }
+        let address = *place.borrow_and_update();
+        let tried = async {
+            let why = session(address, &mut index, &names, &whole, &inputs).await;
+            complaints.say(format_args!("discovery: {why:#}"));
+            if inputs.send(Input::ListBroke).await.is_ok() {
+                tokio::time::sleep(RECONNECT).await;
+            }
+        };
+        tokio::select! {
+            () = tried => {}
+            moved = place.changed() => match moved {
+                Ok(()) => index = 0,
+                Err(_) => return,
             },
-            Err(error) => error,
+        }
+    }
+}
+
+/// One connection, until it is of no further use; why that is.
+async fn session(
+    address: SocketAddr, index: &mut u64, names: &Names, whole: &Notify, inputs: &mpsc::Sender<Input>,
+) -> anyhow::Error {
+    let since = if *index > 0 { format!("&index={index}") } else { String::new() };
+    let target = format!("/v1/endpoints?stream=1{since}");
+    let mut lines = match stream::open(address, &target, LINE_MAX).await {
+        Ok(lines) => lines,
+        Err(error) => return error,
+    };
+    loop {
+        let line = tokio::select! {
+            line = lines.next(SILENCE) => line,
+            () = whole.notified() => {
+                *index = 0;
+                return anyhow!("the whole list is asked for");
+            }
         };
-        complaints.say(format_args!("discovery: {why:#}"));
-        if inputs.send(Input::ListBroke).await.is_err() {
-            return;
+        let list = match line {
+            Ok(line) if line.trim().is_empty() => continue,
+            Ok(line) => serde_json::from_str(&line).map_err(Into::into),
+            Err(error) => return error,
+        };
+        match list.and_then(|list| decode(list, names)) {
+            Ok(list) => {
+                *index = list.index;
+                if inputs.send(Input::Listed(list)).await.is_err() {
+                    return anyhow!("the program ends");
+                }
+            }
+            // What it said can't be known, so changes after it can't be trusted either.
+            Err(error) => return error.context("a line of the list"),
         }
-        tokio::time::sleep(RECONNECT).await;
     }
 }
 
--- a/crates/stagepond-sidecar/src/launch.rs
+++ b/crates/stagepond-sidecar/src/launch.rs
@@ -1,5 +1,5 @@
 //! What the program is started with: environment and configuration JSON into typed values, each fault named
-//! by its field. It reads that one file; it must never listen, connect or guess at a value that is missing.
+//! by its field, at the start and once more when it may have been replaced. It must never listen, connect or guess at a value that is missing.
 
 use std::net::SocketAddr;
 
@@ -10,7 +10,7 @@
 use stagepond_facts::Names;
 
 use crate::discovery;
-use crate::messages::{List, Standing};
+use crate::messages::{List, Places, Standing};
 
 /// What the transport takes from the settings; the module's part is in `Facts`.
 #[derive(Clone, Copy, Debug)]
@@ -23,12 +23,11 @@
 pub struct Launch {
     pub name: String,
     pub listen: SocketAddr,
-    pub discovery: SocketAddr,
+    pub places: Places,
     pub seed: u64,
     pub peer_listen: Option<SocketAddr>,
     pub peers: Vec<SocketAddr>,
     pub peers_all: Option<SocketAddr>,
-    pub platform: Option<SocketAddr>,
     pub standing: Option<Standing>,
     pub known: List,
     pub facts: Facts,
@@ -100,8 +99,15 @@
     text.parse().map_err(|_| anyhow!("{field}: {text:?} is not an address with a port"))
 }
 
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reading {
+    Start,
+    /// The environment still names the discovery of the start, so here the file goes before it.
+    Again,
+}
+
 /// The configuration, with what the environment says of it in front.
-pub fn read(text: &str, env: impl Fn(&str) -> Option<String>) -> Result<Launch> {
+pub fn read(text: &str, env: impl Fn(&str) -> Option<String>, reading: Reading) -> Result<Launch> {
     let form: Form = serde_json::from_str(text).context("configuration")?;
     let given = |field: &str, variable: &str, value: Option<String>| {
         env(variable).or(value).ok_or_else(|| anyhow!("{field}: missing, and {variable} is not set"))
@@ -144,6 +150,10 @@
         ("/family_info/tally_every_ms", "tallies"),
         ("/report/how", "load reports that must be asked for"),
     ];
+    let discovery = match reading {
+        Reading::Again if form.discovery.is_some() => form.discovery.unwrap_or_default(),
+        _ => given("discovery", "BALANCER_DISCOVERY", form.discovery)?,
+    };
     let seed = u64::from_str_radix(&form.seed, 16);
     let (platform, news) = match form.pipeline {
         Some(pipeline) => (Some(address("pipeline.address", &pipeline.address)?), pipeline.news),
@@ -152,12 +162,11 @@
     Ok(Launch {
         name: given("name", "BALANCER_NAME", form.name)?,
         listen: address("listen", &given("listen", "BALANCER_LISTEN", form.listen)?)?,
-        discovery: address("discovery", &given("discovery", "BALANCER_DISCOVERY", form.discovery)?)?,
+        places: Places { discovery: address("discovery", &discovery)?, platform },
         seed: seed.map_err(|_| anyhow!("seed: {:?} is not a 64 bit number in hex", form.seed))?,
         peer_listen,
         peers,
         peers_all: optional("peers_all", &form.peers_all)?,
-        platform,
         standing: news.map(StandingForm::read).transpose().context("pipeline.news")?,
         known: List { whole: true, ..known },
         transport: Transport {
--- a/crates/stagepond-sidecar/src/lifecycle.rs
+++ b/crates/stagepond-sidecar/src/lifecycle.rs
@@ -10,6 +10,44 @@
 /// With a list from before the start only, this long is enough to hear from an agent on the same machine.
 pub const OLD_LIST_AFTER: Tenths = Tenths::ms(500);
 
+/// A file that is being replaced is whole again within moments.
+const REREAD_AFTER: Tenths = Tenths::ms(200);
+/// Then it was not being replaced but is wrong, and only another signal can mean that it has changed.
+const REREADS: u32 = 25;
+
+/// The configuration read once more after a signal: again and again while it can't be read, to a bound.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Rereading {
+    left: u32,
+    at: Option<Tenths>,
+}
+
+impl Rereading {
+    pub fn begin(&mut self) {
+        (self.left, self.at) = (REREADS, None);
+    }
+
+    pub fn done(&mut self) {
+        (self.left, self.at) = (0, None);
+    }
+
+    /// Whether it is to be tried again.
+    pub fn failed(&mut self, now: Tenths) -> bool {
+        self.left = self.left.saturating_sub(1);
+        self.at = (self.left > 0).then_some(now + REREAD_AFTER);
+        self.at.is_some()
+    }
+
+    /// True once for each further try.
+    pub fn due(&mut self, now: Tenths) -> bool {
+        self.at.take_if(|at| *at <= now).is_some()
+    }
+
+    pub fn next(&self) -> Tenths {
+        self.at.unwrap_or(Tenths::NEVER)
+    }
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum State {
     /// Not ready: the list of pods is still old.
--- a/crates/stagepond-sidecar/src/messages.rs
+++ b/crates/stagepond-sidecar/src/messages.rs
@@ -82,6 +82,13 @@
     pub reply: Reply,
 }
 
+/// Where discovery and the platform are: what a new configuration may change while the program runs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Places {
+    pub discovery: SocketAddr,
+    pub platform: Option<SocketAddr>,
+}
+
 #[derive(Clone, Debug)]
 pub enum Input {
     Arrived {
@@ -107,6 +114,10 @@
     },
     /// Time has passed; what is due by now is done.
     Tick,
+    /// The configuration may have been replaced.
+    Hangup,
+    /// What the file says now, or what is wrong with it.
+    Reread(Result<Places, String>),
     Leave,
     ListenerClosed,
     FrontEmpty,
@@ -132,7 +143,13 @@
         stage: u32,
         verdict: Option<Verdict>,
     },
-    Reload,
+    /// Ask discovery for the whole list once more.
+    WholeList,
+    /// Read the configuration file again and tell what it says.
+    Reread,
+    /// Discovery, or the platform, is here from now on.
+    Discovery(SocketAddr),
+    Platform(Option<SocketAddr>),
     /// Take what waits to be accepted, then close.
     CloseListener,
     Log(String),
--- a/crates/stagepond-sidecar/src/platform.rs
+++ b/crates/stagepond-sidecar/src/platform.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use anyhow::{bail, Context, Result};
+use anyhow::{anyhow, bail, Context, Result};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::header::CONTENT_TYPE;
@@ -13,7 +13,7 @@
 use serde::Deserialize;
 use stagepond::host::*;
 use stagepond_facts::Names;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
 
 use crate::launch::StandingForm;
@@ -55,40 +55,56 @@
 }
 
 /// Reads the stream for as long as the program runs.
-pub async fn listen(address: SocketAddr, names: Arc<Names>, inputs: mpsc::Sender<Input>) {
+pub async fn listen(
+    mut place: watch::Receiver<Option<SocketAddr>>, names: Arc<Names>, inputs: mpsc::Sender<Input>,
+) {
     let complaints = Complaints::default();
     loop {
-        let why = match stream::open(address, "/stream", LINE_MAX).await {
-            Ok(mut lines) => {
-                let (mut kind, mut data) = (String::new(), String::new());
-                loop {
-                    let line = match lines.next(SILENCE).await {
-                        Ok(line) => line,
-                        Err(error) => break error,
-                    };
-                    if !line.is_empty() {
-                        match line.split_once(':') {
-                            Some(("event", rest)) => kind = rest.trim_start().to_string(),
-                            Some(("data", rest)) => data = rest.trim_start().to_string(),
-                            _ => {}
-                        }
-                        continue;
-                    }
-                    match event(&std::mem::take(&mut kind), &std::mem::take(&mut data), &names) {
-                        Ok(None) => {}
-                        Ok(Some(input)) => {
-                            if inputs.send(input).await.is_err() {
-                                return;
-                            }
-                        }
-                        Err(error) => complaints.say(format_args!("platform: {error:#}")),
-                    }
+        let address = *place.borrow_and_update();
+        let tried = async {
+            let Some(address) = address else { return std::future::pending().await };
+            let why = session(address, &names, &inputs).await;
+            complaints.say(format_args!("platform: {why:#}"));
+            tokio::time::sleep(RECONNECT).await;
+        };
+        tokio::select! {
+            () = tried => {}
+            moved = place.changed() => if moved.is_err() { return },
+        }
+    }
+}
+
+/// One connection, until it is of no further use; why that is.
+async fn session(address: SocketAddr, names: &Names, inputs: &mpsc::Sender<Input>) -> anyhow::Error {
+    let mut lines = match stream::open(address, "/stream", LINE_MAX).await {
+        Ok(lines) => lines,
+        Err(error) => return error,
+    };
+    let (mut kind, mut data) = (String::new(), String::new());
+    loop {
+        let line = match lines.next(SILENCE).await {
+            Ok(line) => line,
+            Err(error) => return error,
+        };
+        if !line.is_empty() {
+            match line.split_once(':') {
+                Some(("event", rest)) => kind = rest.trim_start().to_string(),
+                Some(("data", rest)) => data = rest.trim_start().to_string(),
+                Some(("" | "id" | "retry", _)) => {}
+                // Not of an event stream at all: what comes behind it can't be trusted either.
+                _ => return anyhow!("a line that is none of an event stream: {line:?}"),
+            }
+            continue;
+        }
+        match event(&std::mem::take(&mut kind), &std::mem::take(&mut data), names) {
+            Ok(None) => {}
+            Ok(Some(input)) => {
+                if inputs.send(input).await.is_err() {
+                    return anyhow!("the program ends");
                 }
             }
-            Err(error) => error,
-        };
-        complaints.say(format_args!("platform: {why:#}"));
-        tokio::time::sleep(RECONNECT).await;
+            Err(error) => return error,
+        }
     }
 }
 
@@ -99,12 +115,18 @@
     pub until: Instant,
 }
 
-/// Carries votes out one after the other, as they came.
+/// Carries votes out one after the other, as they came. One that is out when the platform moves stays where
+/// it went: it may count there.
 pub async fn votes(
-    address: SocketAddr, mut votes: mpsc::UnboundedReceiver<Vote>, inputs: mpsc::Sender<Input>,
+    place: watch::Receiver<Option<SocketAddr>>, mut votes: mpsc::UnboundedReceiver<Vote>,
+    inputs: mpsc::Sender<Input>,
 ) {
     while let Some(vote) = votes.recv().await {
-        let answer = tokio::time::timeout_at(vote.until, put(address, &vote)).await;
+        let address = *place.borrow();
+        let answer = match address {
+            Some(address) => tokio::time::timeout_at(vote.until, put(address, &vote)).await,
+            None => Ok(Err(Ending::NoConnection)),
+        };
         let answer = answer.unwrap_or(Err(Ending::TimedOut));
         tracing::info!(build = vote.build.0, stage = vote.stage, verdict = ?vote.verdict, ?answer, "voted");
         if inputs.send(Input::VoteAnswered(answer)).await.is_err() {
--- a/crates/stagepond-sidecar/src/reducer.rs
+++ b/crates/stagepond-sidecar/src/reducer.rs
@@ -6,14 +6,14 @@
 //! order and end exactly once, by the latest at the client's time limit; the first success is the final
 //! answer; what can't be sent is moot; outcomes are told after the final answer too.
 
-use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 use stagepond::balance::Balancer;
 use stagepond::host::*;
 
-use crate::lifecycle::{Lifecycle, State};
+use crate::lifecycle::{Lifecycle, Rereading, State};
 use crate::messages::*;
 
 struct Held {
@@ -32,6 +32,17 @@
     until: Tenths,
 }
 
+/// What discovery last said of a pod, as far as it tells one process under a name from the next.
+struct Pod {
+    id: PodId,
+    process: (SocketAddr, Option<Tenths>, Build),
+    gone_since: Option<Tenths>,
+}
+
+/// A pod that discovery no longer lists may come back as it was, and what it is blamed for may come late:
+/// for longer than any word of that takes it is still known.
+const GONE_KEPT: Tenths = Tenths::ms(60_000);
+
 /// All but the module; apart from it so that the module can call back.
 struct Ledger {
     now: Tenths,
@@ -46,8 +57,9 @@
     bells: BTreeSet<(Tenths, u64)>,
     /// Ends that came of a call itself: told when it has returned, as the module can't be entered twice.
     ended: VecDeque<(InvId, usize, Ending)>,
-    pods: HashMap<PodName, PodId>,
-    addresses: Vec<SocketAddr>,
+    pods: HashMap<PodName, Pod>,
+    addresses: HashMap<PodId, SocketAddr>,
+    last_pod: u32,
     effects: Vec<Effect>,
 }
 
@@ -55,6 +67,8 @@
     balancer: Balancer,
     ledger: Ledger,
     lifecycle: Lifecycle,
+    rereading: Rereading,
+    places: Places,
     connected: bool,
 }
 
@@ -81,7 +95,7 @@
         held.out.push((nth, id));
         self.due.insert((until, id));
         self.dispatches.insert(id, Dispatch { inv: inv.clone(), nth, at: self.now, until });
-        let (call, to) = (held.call.clone(), self.addresses[pod.0 as usize]);
+        let (call, to) = (held.call.clone(), self.addresses[&pod]);
         self.effects.push(Effect::Dispatch { id, call, to, wait: until - self.now });
     }
 
@@ -111,7 +125,7 @@
     }
 
     fn drop_idle(&mut self, pod: PodId) {
-        self.effects.push(Effect::DropIdle(self.addresses[pod.0 as usize]));
+        self.effects.extend(self.addresses.get(&pod).copied().map(Effect::DropIdle));
     }
 
     fn tell(&mut self, to: Option<Peer>, words: &[u8]) {
@@ -130,7 +144,7 @@
     fn subscribe(&mut self, _wanted: bool) {}
 
     fn reload(&mut self) {
-        self.effects.push(Effect::Reload);
+        self.effects.push(Effect::WholeList);
     }
 
     fn log(&mut self, words: &str) {
@@ -174,7 +188,7 @@
 impl Reducer {
     /// Starts the module on what the configuration holds, in the order in which the simulator tells it.
     pub fn new(
-        now: Tenths, facts: Facts, seed: u64, known: List, standing: Option<Standing>,
+        now: Tenths, facts: Facts, seed: u64, places: Places, known: List, standing: Option<Standing>,
     ) -> (Reducer, Vec<Effect>) {
         let ledger = Ledger {
             now,
@@ -188,13 +202,16 @@
             bells: BTreeSet::new(),
             ended: VecDeque::new(),
             pods: HashMap::new(),
-            addresses: Vec::new(),
+            addresses: HashMap::new(),
+            last_pod: 0,
             effects: Vec::new(),
         };
         let mut reducer = Reducer {
             balancer: Balancer::new(facts, seed),
             ledger,
             lifecycle: Lifecycle::new(now),
+            rereading: Rereading::default(),
+            places,
             connected: false,
         };
         reducer.ledger.effects.push(Effect::Enter(State::Starting));
@@ -210,7 +227,7 @@
 
     /// When `Input::Tick` is to come at the latest.
     pub fn next_due(&self) -> Tenths {
-        self.ledger.next_due().min(self.lifecycle.next())
+        self.ledger.next_due().min(self.lifecycle.next()).min(self.rereading.next())
     }
 
     pub fn apply(&mut self, now: Tenths, input: Input) -> Vec<Effect> {
@@ -227,12 +244,17 @@
             Input::Standing(standing) => self.standing(Ok(standing), false),
             Input::VoteAnswered(answer) => self.standing(answer, true),
             Input::Disputed { pod, op, age } => {
-                if let Some(&pod) = self.ledger.pods.get(&pod) {
-                    self.balancer.objection(&mut self.ledger, pod, op, age);
+                if let Some(&Pod { id, .. }) = self.ledger.pods.get(&pod) {
+                    self.balancer.objection(&mut self.ledger, id, op, age);
                 }
             }
             Input::Mail { from, words } => self.balancer.peer(&mut self.ledger, from, &words),
             Input::Tick => self.tick(),
+            Input::Hangup => {
+                self.rereading.begin();
+                self.ledger.effects.push(Effect::Reread);
+            }
+            Input::Reread(read) => self.reread(read),
             Input::Leave => {
                 let state = self.lifecycle.leave(self.ledger.now);
                 self.enter(state);
@@ -303,8 +325,32 @@
         self.tell(&inv, nth, took, ending, in_flight);
     }
 
+    /// What is learnt and what is under way stays as it is: only where news and votes go changes.
+    fn reread(&mut self, read: Result<Places, String>) {
+        let places = match read {
+            Ok(places) => places,
+            Err(why) => {
+                let again = self.rereading.failed(self.ledger.now);
+                let then = if again { "is read again shortly" } else { "is given up, the old one stays" };
+                return self.ledger.log(&format!("the new configuration {then}: {why}"));
+            }
+        };
+        self.rereading.done();
+        let old = std::mem::replace(&mut self.places, places);
+        self.ledger.log(&format!("the new configuration is in force: {places:?}, before {old:?}"));
+        if old.discovery != places.discovery {
+            self.ledger.effects.push(Effect::Discovery(places.discovery));
+        }
+        if old.platform != places.platform {
+            self.ledger.effects.push(Effect::Platform(places.platform));
+        }
+    }
+
     fn tick(&mut self) {
         let now = self.ledger.now;
+        if self.rereading.due(now) {
+            self.ledger.effects.push(Effect::Reread);
+        }
         while let Some(&(until, id)) = self.ledger.due.first().filter(|(until, _)| *until <= now) {
             let Some(Dispatch { inv, nth, at, .. }) = self.ledger.forget(id) else { break };
             // The connection goes before the module hears of it, and so before any further dispatch.
@@ -323,20 +369,34 @@
     }
 
     fn list(&mut self, list: List) {
+        let now = self.ledger.now;
         self.balancer.list_begins(list.whole);
-        for row in list.rows {
-            let next = PodId(self.ledger.addresses.len() as u32);
-            let pod = *self.ledger.pods.entry(row.name).or_insert(next);
-            if pod == next {
-                self.ledger.addresses.push(row.address);
+        if list.whole {
+            let rows: HashSet<_> = list.rows.iter().map(|row| &row.name).collect();
+            for (name, pod) in &mut self.ledger.pods {
+                if !rows.contains(name) && pod.gone_since.is_none() {
+                    pod.gone_since = Some(now);
+                    self.ledger.effects.push(Effect::DropIdle(pod.process.0));
+                }
             }
-            // A pod keeps its name when it moves; nothing that is idle at the old address serves any more.
-            let old = std::mem::replace(&mut self.ledger.addresses[pod.0 as usize], row.address);
-            if old != row.address || row.availability != Availability::Up {
-                self.ledger.effects.push(Effect::DropIdle(old));
+        }
+        for row in list.rows {
+            let process = (row.address, row.born, row.build);
+            let next = &mut self.ledger.last_pod;
+            let pod = self.ledger.pods.entry(row.name).or_insert_with(|| {
+                *next += 1;
+                Pod { id: PodId(*next), process, gone_since: None }
+            });
+            let gone = row.availability == Availability::Gone;
+            pod.gone_since = gone.then(|| pod.gone_since.unwrap_or(now));
+            // Another process under the name, or the same one elsewhere: what is open serves it no more.
+            let old = std::mem::replace(&mut pod.process, process);
+            if old != process || row.availability != Availability::Up {
+                self.ledger.effects.push(Effect::DropIdle(old.0));
             }
+            self.ledger.addresses.insert(pod.id, row.address);
             self.balancer.pod(
-                pod,
+                pod.id,
                 row.kind,
                 row.zone,
                 row.availability,
@@ -347,6 +407,11 @@
             );
         }
         self.balancer.list_ends(&mut self.ledger);
+        let addresses = &mut self.ledger.addresses;
+        self.ledger.pods.retain(|_, pod| {
+            let kept = pod.gone_since.is_none_or(|since| now < since + GONE_KEPT);
+            kept || addresses.remove(&pod.id).is_none()
+        });
     }
 
     fn standing(&mut self, answer: Result<Standing, Ending>, to_vote: bool) {
@@ -359,6 +424,11 @@
         self.balancer.stage(host, s.build, s.stage, s.since, s.phase, to_vote, s.cap, ending);
     }
 
+    #[cfg(test)]
+    pub fn pods(&self) -> usize {
+        self.ledger.pods.len().max(self.ledger.addresses.len())
+    }
+
     /// How many invocations are known, and how many dispatches are out.
     #[cfg(test)]
     pub fn sizes(&self) -> (usize, usize) {
--- a/crates/stagepond-sidecar/src/shell.rs
+++ b/crates/stagepond-sidecar/src/shell.rs
@@ -5,8 +5,8 @@
 use std::sync::Arc;
 
 use anyhow::{Context, Result};
-use tokio::signal::unix::{signal, SignalKind};
-use tokio::sync::{mpsc, Notify};
+use tokio::signal::unix::{signal, Signal, SignalKind};
+use tokio::sync::{mpsc, watch, Notify};
 
 use crate::discovery;
 use crate::front::{Front, Operations};
@@ -28,7 +28,7 @@
 /// A list passes three tasks from its socket to this loop: one turn of the runtime for each.
 const TURNS: usize = 3;
 
-pub async fn serve(launch: Launch) -> Result<()> {
+pub async fn serve(launch: Launch, reread: impl Fn() -> Result<Places>, mut hangups: Signal) -> Result<()> {
     let clock = Clock::start();
     let mut leave = signal(SignalKind::terminate()).context("SIGTERM")?;
     let mut interrupt = signal(SignalKind::interrupt()).context("SIGINT")?;
@@ -51,20 +51,20 @@
     }
     let whole = Arc::new(Notify::new());
     let index = launch.known.index;
-    tokio::spawn(discovery::watch(launch.discovery, index, names.clone(), whole.clone(), news.clone()));
+    let (discovery, place) = watch::channel(launch.places.discovery);
+    tokio::spawn(discovery::watch(place, index, names.clone(), whole.clone(), news.clone()));
     let (votes, wanted) = mpsc::unbounded_channel();
     let vote_wait = duration(launch.facts.vote_wait);
-    if let Some(address) = launch.platform {
-        tokio::spawn(platform::listen(address, names.clone(), news.clone()));
-        tokio::spawn(platform::votes(address, wanted, news.clone()));
-    }
+    let (platform, place) = watch::channel(launch.places.platform);
+    tokio::spawn(platform::listen(place.clone(), names.clone(), news.clone()));
+    tokio::spawn(platform::votes(place, wanted, news.clone()));
     let at = front.listen(launch.listen)?;
     let datagrams = peers.as_ref().and_then(Peers::address).map_or("none".into(), |at| at.to_string());
     tracing::info!(name = launch.name, clients = %at, %datagrams, clients_max, "listening");
     launch.missing.iter().for_each(|what| tracing::warn!("the settings have {what}: not there on sockets"));
 
     let (mut reducer, mut effects) =
-        Reducer::new(clock.now(), launch.facts, launch.seed, launch.known, launch.standing);
+        Reducer::new(clock.now(), launch.facts, launch.seed, launch.places, launch.known, launch.standing);
     let mut batch = Vec::new();
     loop {
         for effect in effects.drain(..) {
@@ -78,7 +78,10 @@
                     let until = tokio::time::Instant::now() + vote_wait;
                     let _ = votes.send(Vote { build, stage, verdict, until });
                 }
-                Effect::Reload => whole.notify_one(),
+                Effect::WholeList => whole.notify_one(),
+                Effect::Reread => batch.push(Input::Reread(reread().map_err(|error| format!("{error:#}")))),
+                Effect::Discovery(at) => drop(discovery.send_replace(at)),
+                Effect::Platform(at) => drop(platform.send_replace(at)),
                 Effect::CloseListener => front.close_listener(),
                 Effect::Log(words) => tracing::info!("{words}"),
                 Effect::Enter(state) => {
@@ -99,6 +102,8 @@
         let due = clock.instant(reducer.next_due()).into();
         tokio::select! {
             biased;
+            () = std::future::ready(()), if !batch.is_empty() => {}
+            _ = hangups.recv() => batch.push(Input::Hangup),
             _ = leave.recv() => batch.push(Input::Leave),
             _ = interrupt.recv() => batch.push(Input::Leave),
             Some(input) = told.recv() => batch.push(input),
