--- a/crates/stagepond-sidecar/src/front.rs
+++ b/crates/stagepond-sidecar/src/front.rs
@@ -9,12 +9,12 @@
 
 use anyhow::{Context, Result};
 use axum::body::Body;
-use axum::extract::{DefaultBodyLimit, Extension, State as Shared};
+use axum::extract::{Extension, Request, State as Shared};
 use axum::response::{IntoResponse, Response};
 use axum::routing::{any, get};
 use axum::Router;
-use bytes::Bytes;
-use hyper::header::{self, HeaderName};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::header::{self, HeaderName, HeaderValue};
 use hyper::http::uri::PathAndQuery;
 use hyper::server::conn::http1;
 use hyper::{HeaderMap, Method, StatusCode, Uri};
@@ -27,7 +27,7 @@
 use crate::messages::*;
 use crate::pods::duration;
 use crate::stream::Complaints;
-use crate::wire::{Trace, Wire};
+use crate::wire::{Trace, Wire, HEAD_MAX};
 
 pub const BODY_MAX: usize = 64 << 10;
 /// Connections that wait while the loop is busy; the system may hold fewer.
@@ -36,7 +36,21 @@
 const ACCEPT_AGAIN: std::time::Duration = std::time::Duration::from_millis(5);
 /// How long a connection that is to close may take to send the rest of an invocation that it has begun.
 const HALF_SENT: Tenths = Tenths::ms(500);
+/// An invocation is 64 KiB at most, from the same data centre: what takes longer, or was opened and then
+/// said nothing, keeps a descriptor from others.
+const WHOLE_WITHIN: Tenths = Tenths::ms(2300);
+const SWEEP_EVERY: Tenths = Tenths::ms(200);
+/// A client that keeps its connection may rely on it for this long between two invocations.
+const IDLE_KEPT: Tenths = Tenths::ms(2000);
+/// Whoever connects sends at once; without this a crowd would have newcomers put each other out.
+const NEWCOMER: Tenths = Tenths::ms(50);
+/// From this part of the bound on, what stands idle is closed ahead of need.
+const CROWDED: f64 = 0.75;
+/// With its buffer and a body, the most that one connection holds.
+pub const CONNECTION_BYTES: usize = 2 * HEAD_MAX + BODY_MAX;
 const ID_MAX: usize = 128;
+/// No client waits for longer on one connection.
+const LIMIT_MAX: Tenths = Tenths::ms(3_600_000);
 
 const ID: &str = "x-request-id";
 const OPERATION: &str = "x-priority-class";
@@ -58,9 +72,45 @@
 pub struct Operations(pub Vec<(String, Repeat)>);
 
 struct Client {
+    since: Tenths,
     /// Since when it stands idle; none while an invocation of it is open.
     idle_since: Option<Tenths>,
-    close: Arc<Notify>,
+    /// Whether it has sent a whole invocation yet.
+    of_use: bool,
+    closing: bool,
+    trace: Trace,
+    end: Arc<End>,
+}
+
+/// How a connection is told to end: once what it has begun is done, or now.
+#[derive(Default)]
+struct End {
+    close: Notify,
+    cut: Notify,
+}
+
+impl Client {
+    /// When it has had its time to send a whole message. Nothing cuts it while its invocation is open, nor a
+    /// client of use between two of them.
+    fn cut_at(&self) -> Tenths {
+        let Some(idle_since) = self.idle_since else { return Tenths::NEVER };
+        let whole_by = match self.trace.begun_at() {
+            Some(begun_at) if self.of_use => begun_at + WHOLE_WITHIN,
+            None if self.of_use => Tenths::NEVER,
+            _ => self.since + WHOLE_WITHIN,
+        };
+        let soon = idle_since.max(self.trace.came_at()) + HALF_SENT;
+        if self.closing {
+            whole_by.min(soon)
+        } else {
+            whole_by
+        }
+    }
+
+    fn close(&mut self) {
+        self.closing = true;
+        self.end.close.notify_one();
+    }
 }
 
 pub struct Front {
@@ -132,7 +182,7 @@
     }
 
     pub fn close_all(&self) {
-        self.clients().values().for_each(|c| c.close.notify_one());
+        self.clients().values_mut().for_each(Client::close);
     }
 
     pub fn close_listener(&self) {
@@ -153,6 +203,7 @@
         let listener = bind().with_context(|| format!("listen: {at}"))?;
         let at = listener.local_addr()?;
         tokio::spawn(self.clone().accept(listener));
+        tokio::spawn(self.clone().sweep());
         Ok(at)
     }
 
@@ -161,13 +212,10 @@
             .route("/ready", get(ready))
             .route("/{operation}", any(invoke))
             .route("/{operation}/{*rest}", any(invoke))
-            .layer(DefaultBodyLimit::max(BODY_MAX))
             .with_state(self.clone());
         let mut number = 0;
         loop {
-            while !self.has_room() {
-                self.changed.notified().await;
-            }
+            self.room().await;
             let accepted = tokio::select! {
                 accepted = listener.accept() => accepted,
                 () = self.close_listener.notified() => break,
@@ -186,9 +234,7 @@
         // What the system has accepted is taken, asked of the system itself: the runtime may not know yet.
         let listener = listener.into_std().expect("the runtime gives back what it was given");
         loop {
-            while !self.has_room() {
-                self.changed.notified().await;
-            }
+            self.room().await;
             let accepted = listener.accept().and_then(|(stream, _)| {
                 stream.set_nonblocking(true)?;
                 TcpStream::from_std(stream)
@@ -210,42 +256,77 @@
         self.tell_if_empty();
     }
 
-    /// At the bound, what has stood idle longest makes room: those who wait outside may have sent already.
+    /// At the bound one goes that has never been of use, the oldest first, since it may be anyone's; then what
+    /// has stood idle longest. Those who wait outside may have sent already.
     fn has_room(&self) -> bool {
-        let clients = self.clients();
+        let mut clients = self.clients();
         if clients.len() < self.clients_max {
             return true;
         }
-        let idle = clients.values().filter_map(|c| Some((c.idle_since?, &c.close)));
-        if let Some((_, close)) = idle.min_by_key(|(since, _)| *since) {
-            close.notify_one();
+        let now = self.clock.now();
+        let silent = |c: &&Client| !c.of_use && c.idle_since.is_some() && now >= c.since + NEWCOMER;
+        let oldest = clients.values().filter(silent).min_by_key(|c| c.since);
+        match oldest {
+            Some(client) => client.end.cut.notify_one(),
+            None => close_idle(&mut clients, 1, now),
         }
         false
     }
 
+    async fn room(&self) {
+        while !self.has_room() {
+            // Time alone may make one fit to go.
+            let _ = tokio::time::timeout(duration(NEWCOMER), self.changed.notified()).await;
+        }
+    }
+
+    /// Cuts what has not sent a whole message in its time, and keeps some room ahead of need.
+    async fn sweep(self: Arc<Front>) {
+        let mut last = self.clock.now();
+        loop {
+            tokio::time::sleep(duration(SWEEP_EVERY)).await;
+            let now = self.clock.now();
+            // After this process stood still, what had come in time is read first.
+            let stood_still = now > last + SWEEP_EVERY + SWEEP_EVERY;
+            last = now;
+            if stood_still {
+                continue;
+            }
+            let mut clients = self.clients();
+            clients.values().filter(|c| c.cut_at() <= now).for_each(|c| c.end.cut.notify_one());
+            let crowd = (self.clients_max as f64 * CROWDED) as usize;
+            let over = clients.len().saturating_sub(crowd);
+            close_idle(&mut clients, over, now);
+        }
+    }
+
     fn connected(self: Arc<Front>, number: u64, stream: TcpStream, router: Router) {
-        let close = Arc::new(Notify::new());
-        let client = Client { idle_since: Some(self.clock.now()), close: close.clone() };
+        let (end, now, trace) = (Arc::new(End::default()), self.clock.now(), Trace::of_messages());
+        let client = Client {
+            since: now,
+            idle_since: Some(now),
+            of_use: false,
+            closing: false,
+            trace: trace.clone(),
+            end: end.clone(),
+        };
         self.clients().insert(number, client);
         tokio::spawn(async move {
-            let trace = Trace::default();
             if let Ok(wire) = Wire::new(stream, trace.clone(), self.clock) {
-                let router = router.layer(Extension(Connection { number, trace: trace.clone() }));
+                let router = router.layer(Extension(Connection { number, trace }));
                 let mut builder = http1::Builder::new();
                 // Accepted while leaving: it may still carry the invocation it was opened for.
-                builder.keep_alive(!self.leaving.load(Ordering::Relaxed));
+                builder.keep_alive(!self.leaving.load(Ordering::Relaxed)).max_buf_size(HEAD_MAX);
                 let serving = builder.serve_connection(wire, TowerToHyperService::new(router));
                 tokio::pin!(serving);
-                let mut closing = false;
                 loop {
                     tokio::select! {
+                        // What has come is read before anything is ended for not having come.
+                        biased;
                         // How a client's connection ends is no news: what it meant for an invocation is told.
                         _ = &mut serving => break,
-                        () = close.notified() => {
-                            closing = true;
-                            serving.as_mut().graceful_shutdown();
-                        }
-                        () = self.half_sent(number, &trace), if closing => break,
+                        () = end.close.notified() => serving.as_mut().graceful_shutdown(),
+                        () = end.cut.notified() => break,
                     }
                 }
             }
@@ -262,23 +343,10 @@
         }
     }
 
-    /// Ends once nothing more of a message has come for a while, and no invocation is open on it.
-    async fn half_sent(&self, connection: u64, trace: &Trace) {
-        loop {
-            let now = self.clock.now();
-            let since = self.clients().get(&connection).and_then(|client| client.idle_since);
-            let until = since.map_or(now, |since| since.max(trace.came_at())) + HALF_SENT;
-            if until <= now {
-                return;
-            }
-            tokio::time::sleep(duration(until - now)).await;
-        }
-    }
-
     fn set_idle(&self, connection: u64, idle: bool) {
         let since = idle.then(|| self.clock.now());
         if let Some(c) = self.clients().get_mut(&connection) {
-            c.idle_since = since;
+            (c.idle_since, c.of_use) = (since, true);
         }
         if idle {
             self.changed.notify_one();
@@ -286,7 +354,22 @@
     }
 }
 
-async fn ready(Shared(front): Shared<Arc<Front>>) -> StatusCode {
+/// Closes up to so many of those that may go, the longest idle first.
+fn close_idle(clients: &mut BTreeMap<u64, Client>, most: usize, now: Tenths) {
+    if most == 0 {
+        return;
+    }
+    let spent =
+        |c: &&mut Client| c.of_use && !c.closing && c.idle_since.is_some_and(|s| now >= s + IDLE_KEPT);
+    let mut idle: Vec<&mut Client> = clients.values_mut().filter(spent).collect();
+    idle.sort_by_key(|c| c.idle_since);
+    idle.into_iter().take(most).for_each(Client::close);
+}
+
+async fn ready(
+    Shared(front): Shared<Arc<Front>>, Extension(connection): Extension<Connection>,
+) -> StatusCode {
+    front.set_idle(connection.number, true);
     if front.ready.load(Ordering::Relaxed) {
         StatusCode::OK
     } else {
@@ -300,22 +383,26 @@
     (StatusCode::BAD_REQUEST, format!("{what}\n"))
 }
 
-/// The operation and the time limit that an invocation came with.
+/// The operation, id and time limit that an invocation came with, from its head alone: nothing of a body is
+/// taken in for a head that is wrong.
 fn check(
     operations: &Operations, method: &Method, uri: &Uri, headers: &HeaderMap,
-) -> Result<(Op, Tenths), Malformed> {
+) -> Result<(Op, ClientId, Tenths), Malformed> {
     let first = uri.path().split('/').nth(1).unwrap_or_default();
     let op = operations.0.iter().position(|(name, _)| name == first);
     let op = op.ok_or_else(|| (StatusCode::NOT_FOUND, format!("no operation {first:?}\n")))?;
-    let text = |name: &str| headers.get(name).and_then(|v| v.to_str().ok()).filter(|v| !v.is_empty());
+    // Given twice, two readers may each take another one.
+    let only = |name: &str| headers.get(name).filter(|_| headers.get_all(name).iter().count() == 1);
+    let text = |name: &str| only(name).and_then(|v| v.to_str().ok()).filter(|v| !v.is_empty());
     if text(OPERATION) != Some(first) {
         return Err(malformed("X-Priority-Class is not the first part of the path"));
     }
-    if text(ID).is_none_or(|id| id.len() > ID_MAX) {
-        return Err(malformed("X-Request-ID is missing or no id"));
-    }
-    let limit = text(TIME_LIMIT).and_then(|ms| ms.parse::<u32>().ok()).filter(|ms| *ms > 0);
-    let limit = limit.ok_or_else(|| malformed("X-Timeout-Ms is not a whole number of milliseconds"))?;
+    let id = text(ID).filter(|id| id.len() <= ID_MAX);
+    let id = id.ok_or_else(|| malformed("X-Request-ID is missing or no id"))?;
+    let digits = text(TIME_LIMIT).filter(|ms| ms.bytes().all(|digit| digit.is_ascii_digit()));
+    let limit = digits.and_then(|ms| ms.parse().ok()).map(Tenths::ms);
+    let limit = limit.filter(|limit| Tenths(0) < *limit && *limit <= LIMIT_MAX);
+    let limit = limit.ok_or_else(|| malformed("X-Timeout-Ms is not a number of milliseconds to wait"))?;
     let repeat = operations.0[op].1;
     if (repeat == Repeat::Idempotent) != (method == Method::GET)
         || repeat != Repeat::Idempotent && method != Method::POST
@@ -325,7 +412,11 @@
     if repeat == Repeat::Fingerprinted && text(FINGERPRINT).is_none() {
         return Err(malformed("Idempotency-Key is missing"));
     }
-    Ok((Op(op), Tenths::ms(i64::from(limit))))
+    let length = headers.get(header::CONTENT_LENGTH).and_then(|v| v.to_str().ok()?.parse::<u64>().ok());
+    if length.is_some_and(|length| length > BODY_MAX as u64) {
+        return Err((StatusCode::PAYLOAD_TOO_LARGE, format!("a body holds at most {BODY_MAX} bytes\n")));
+    }
+    Ok((Op(op), ClientId(id.into()), limit))
 }
 
 /// Tells the reducer when the client goes before it has its answer.
@@ -345,13 +436,27 @@
 }
 
 async fn invoke(
-    Shared(front): Shared<Arc<Front>>, Extension(connection): Extension<Connection>, method: Method,
-    uri: Uri, mut headers: HeaderMap, body: Bytes,
+    Shared(front): Shared<Arc<Front>>, Extension(connection): Extension<Connection>, invocation: Request,
 ) -> Response {
-    let (op, limit) = match check(&front.operations, &method, &uri, &headers) {
+    let (head, body) = invocation.into_parts();
+    let checked = match check(&front.operations, &head.method, &head.uri, &head.headers) {
+        _ if connection.trace.ambiguous() => Err(malformed("the length of the body is given more than once")),
+        checked => checked,
+    };
+    let (op, id, limit) = match checked {
         Ok(checked) => checked,
-        Err(fault) => return fault.into_response(),
+        Err(fault) => return close_after(fault.into_response()),
     };
+    // Where the length is not told ahead, nobody but the library knows where the next message would begin.
+    let last = head.headers.contains_key(header::TRANSFER_ENCODING);
+    let body = match Limited::new(body, BODY_MAX).collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(error) if error.is::<LengthLimitError>() => {
+            return close_after(StatusCode::PAYLOAD_TOO_LARGE.into_response());
+        }
+        Err(_) => return close_after(malformed("the body is not whole").into_response()),
+    };
+    let (method, uri, mut headers) = (head.method, head.uri, head.headers);
     HOP.iter().for_each(|name| drop(headers.remove(name)));
     let target = uri.path_and_query().cloned().unwrap_or_else(|| PathAndQuery::from_static("/"));
     let call = Arc::new(Call { method, target, headers, body });
@@ -361,9 +466,24 @@
     front.set_idle(connection.number, false);
     let waiting = Waiting { front: front.clone(), ticket, connection: connection.number };
     let until = connection.trace.came_at() + limit;
-    let _ = front.inputs.send(Input::Arrived { ticket, call, op, until });
+    let _ = front.inputs.send(Input::Arrived { ticket, id, call, op, until });
     let answer = answer.await;
     drop(waiting);
+    let response = worded(answer);
+    if last {
+        close_after(response)
+    } else {
+        response
+    }
+}
+
+/// What is wrong with a message may be wrong with the next as well, and where that begins can be in doubt.
+fn close_after(mut response: Response) -> Response {
+    response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    response
+}
+
+fn worded(answer: Result<FinalAnswer, oneshot::error::RecvError>) -> Response {
     match answer {
         Ok(FinalAnswer::Succeeded(reply)) => {
             let mut response = Response::new(Body::from(reply.body));
@@ -381,6 +501,7 @@
             }
             response
         }
+        Ok(FinalAnswer::IdTaken) => StatusCode::CONFLICT.into_response(),
         // A dropped sender means the program ends without this answer; it can't be called harmless.
         Ok(FinalAnswer::Terminated) | Err(_) => StatusCode::BAD_GATEWAY.into_response(),
     }
--- a/crates/stagepond-sidecar/src/launch.rs
+++ b/crates/stagepond-sidecar/src/launch.rs
@@ -18,6 +18,7 @@
     pub connect_timeout: Tenths,
     pub idle_close: Tenths,
     pub sockets: usize,
+    pub memory: usize,
 }
 
 pub struct Launch {
@@ -53,9 +54,13 @@
     settings: Value,
 }
 
+/// The least that a deployment gives, where the configuration does not say.
+const MEMORY_MB: usize = 32;
+
 #[derive(Deserialize)]
 struct Limits {
     sockets: usize,
+    memory_mb: Option<usize>,
 }
 
 #[derive(Deserialize)]
@@ -173,6 +178,7 @@
             connect_timeout: ms("/bounds/connect_timeout_ms")?,
             idle_close: ms("/bounds/idle_close_ms")?,
             sockets: form.limits.sockets,
+            memory: form.limits.memory_mb.unwrap_or(MEMORY_MB) << 20,
         },
         missing: absent.iter().filter(|(path, _)| on(path)).map(|(_, what)| *what).collect(),
         facts,
--- a/crates/stagepond-sidecar/src/messages.rs
+++ b/crates/stagepond-sidecar/src/messages.rs
@@ -14,6 +14,10 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct Ticket(pub u64);
 
+/// The id that the client gave its invocation.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct ClientId(pub SmolStr);
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct DispatchId(pub u64);
 
@@ -39,8 +43,12 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum FinalAnswer {
     Succeeded(Reply),
-    Throttled { stay_away: Tenths },
+    Throttled {
+        stay_away: Tenths,
+    },
     Terminated,
+    /// Another invocation with the same id is still known.
+    IdTaken,
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -93,6 +101,7 @@
 pub enum Input {
     Arrived {
         ticket: Ticket,
+        id: ClientId,
         call: Arc<Call>,
         op: Op,
         until: Tenths,
--- a/crates/stagepond-sidecar/src/pods.rs
+++ b/crates/stagepond-sidecar/src/pods.rs
@@ -13,6 +13,8 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Body;
+use hyper::header::TRANSFER_ENCODING;
 use hyper::http::uri::{Authority, Scheme, Uri};
 use hyper::{HeaderMap, Request, StatusCode};
 use hyper_util::client::legacy::Client;
@@ -25,8 +27,12 @@
 use crate::launch::Transport;
 use crate::messages::*;
 use crate::stream::Complaints;
-use crate::wire::{Trace, Wire};
+use crate::wire::{Trace, Wire, HEAD_MAX};
 
+/// What a pod sends behind an answer comes right behind it.
+const REST: Duration = Duration::from_millis(2);
+/// A report that no machine can have is a garbled one.
+const IN_FLIGHT_MAX: f64 = 10_000.0;
 /// A pod may close what stood idle for the whole time; what is written just then would be a reset.
 const IDLE_SHARE: f64 = 0.8;
 const LOAD: &str = "x-server-load";
@@ -75,6 +81,7 @@
 type Free = Arc<Mutex<HashMap<SocketAddr, Vec<Lane>>>>;
 
 struct Out {
+    to: SocketAddr,
     trace: Trace,
     task: AbortHandle,
 }
@@ -116,26 +123,33 @@
         let (clock, inputs, free) = (self.clock, self.inputs.clone(), self.free.clone());
         let complaints = self.complaints.clone();
         let task = tokio::spawn(async move {
-            let outcome = carry_out(&lane, &call, to, wait, clock, &complaints).await;
+            let (outcome, clean) = carry_out(&lane, &call, to, wait, clock, &complaints).await;
+            if !clean {
+                lane.trace.cut();
+            }
             let _ = inputs.send(Input::Ended(id, outcome));
-            if lane.trace.stands() {
+            if lane.trace.fit() {
                 let lane = Lane { free_since: Instant::now(), ..lane };
                 free.lock().expect("never held while panicking").entry(to).or_default().push(lane);
             }
         });
-        self.out.insert(id, Out { trace, task: task.abort_handle() });
+        self.out.insert(id, Out { to, trace, task: task.abort_handle() });
     }
 
-    /// The one that was used last, so that what is not needed stands idle long enough to go.
+    /// The one that was used last, so that what is not needed stands idle long enough to go; but one that has
+    /// just become free only if there is no other, since more may be behind its answer.
     fn lane(&mut self, to: SocketAddr) -> Option<Lane> {
         let mut free = self.free.lock().expect("never held while panicking");
-        while let Some(lane) = free.get_mut(&to).and_then(Vec::pop) {
-            if lane.trace.stands() {
+        if let Some(lanes) = free.get_mut(&to) {
+            lanes.retain(|lane| lane.trace.fit());
+            let rested = lanes.iter().rposition(|lane| lane.free_since.elapsed() >= REST);
+            if let Some(lane) = rested.map(|at| lanes.remove(at)).or_else(|| lanes.pop()) {
                 return Some(lane);
             }
         }
         if Arc::strong_count(&self.lanes) > self.lanes_max {
-            free.values_mut().for_each(|lanes| lanes.retain(|lane| lane.trace.stands()));
+            free.values_mut().for_each(|lanes| lanes.retain(|lane| lane.trace.fit()));
+            free.retain(|_, lanes| !lanes.is_empty());
             let oldest = free.iter().filter_map(|(at, lanes)| Some((lanes.first()?.free_since, *at))).min();
             match oldest {
                 Some((_, at)) => drop(free.get_mut(&at).map(|lanes| lanes.remove(0))),
@@ -152,6 +166,7 @@
             .pool_max_idle_per_host(1)
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(duration(self.transport.idle_close.part(IDLE_SHARE)))
+            .http1_max_buf_size(HEAD_MAX)
             .build(dial);
         Some(Lane { client, trace, free_since: Instant::now(), _counted: self.lanes.clone() })
     }
@@ -168,17 +183,20 @@
         self.out.remove(&id);
     }
 
+    /// What is out there still ends as it may, but its connection goes with it.
     pub fn drop_idle(&self, to: SocketAddr) {
         self.free.lock().expect("never held while panicking").remove(&to);
+        self.out.values().filter(|out| out.to == to).for_each(|out| out.trace.retire());
     }
 }
 
+/// How it ended, and whether the connection showed nothing but one whole answer.
 async fn carry_out(
     lane: &Lane, call: &Call, to: SocketAddr, wait: Tenths, clock: Clock, complaints: &Complaints,
-) -> Outcome {
+) -> (Outcome, bool) {
     lane.trace.begins(call.body.len());
     let mut reply = Reply::default();
-    let (mut ending, mut in_flight) = (Ending::Reset, None);
+    let (mut ending, mut in_flight, mut clean) = (Ending::Reset, None, false);
     match lane.client.request(message(call, to, wait)).await {
         // Only what the connection itself showed proves that it never ran.
         Err(_) if !lane.trace.whole() => ending = Ending::NoConnection,
@@ -191,16 +209,20 @@
                     complaints.say(format_args!("pods: {to}: load report {load:?}"));
                 }
             }
-            if let Ok(body) = Limited::new(body, BODY_MAX).collect().await {
+            // Without a length only the end of the connection ends it, and so does whatever cuts it short.
+            let delimited =
+                body.size_hint().exact().is_some() || head.headers.contains_key(TRANSFER_ENCODING);
+            if let (true, Ok(body)) = (delimited, Limited::new(body, BODY_MAX).collect().await) {
                 ending = told(head.status, &head.headers);
                 reply = Reply { headers: head.headers, body: body.to_bytes() };
+                clean = head.status != StatusCode::SWITCHING_PROTOCOLS;
             }
         }
     }
     // What the pod said came with its bytes; the end of a connection has no bytes of its own.
     let said = matches!(ending, Ending::Succeeded | Ending::Error | Ending::Full);
     let at = if said { lane.trace.came_at() } else { clock.now() };
-    Outcome { ending, at, in_flight, reply }
+    (Outcome { ending, at, in_flight, reply }, clean)
 }
 
 fn told(status: StatusCode, headers: &HeaderMap) -> Ending {
@@ -230,7 +252,7 @@
 fn reported_in_flight(report: &str) -> Option<f64> {
     let pairs = report.split(',').filter_map(|pair| pair.split_once('='));
     let value = pairs.filter(|(name, _)| IN_FLIGHT.contains(&name.trim())).map(|(_, value)| value).next()?;
-    value.trim().parse().ok().filter(|n: &f64| n.is_finite() && *n >= 0.0)
+    value.trim().parse().ok().filter(|n: &f64| (0.0..=IN_FLIGHT_MAX).contains(n))
 }
 
 #[cfg(test)]
@@ -247,6 +269,7 @@
     #[case::no_figure("rif=many", None)]
     #[case::no_number("rif=NaN", None)]
     #[case::below_none("rif=-1", None)]
+    #[case::absurd("rif=1e18", None)]
     #[case::garbage(";;;", None)]
     fn a_load_report_is_read_or_dropped(#[case] report: &str, #[case] in_flight: Option<f64>) {
         assert_eq!(reported_in_flight(report), in_flight);
--- a/crates/stagepond-sidecar/src/reducer.rs
+++ b/crates/stagepond-sidecar/src/reducer.rs
@@ -18,6 +18,7 @@
 
 struct Held {
     ticket: Ticket,
+    id: ClientId,
     call: Arc<Call>,
     until: Tenths,
     sent: usize,
@@ -49,6 +50,8 @@
     dispatches_max: usize,
     second_copies: bool,
     invs: HashMap<InvId, Held>,
+    /// The clients' ids of those: each is free again once the last dispatch under it has ended.
+    ids: HashSet<ClientId>,
     open: usize,
     dispatches: HashMap<DispatchId, Dispatch>,
     last_dispatch: u64,
@@ -165,7 +168,8 @@
     fn forget_if_over(&mut self, inv: &InvId) {
         let over = |held: &Held| held.answered && held.out.is_empty();
         if self.invs.get(inv).is_some_and(over) && !self.ended.iter().any(|(ended, ..)| ended == inv) {
-            self.invs.remove(inv);
+            let id = self.invs.remove(inv).map(|held| held.id);
+            id.map(|id| self.ids.remove(&id));
         }
     }
 
@@ -195,6 +199,7 @@
             dispatches_max: facts.dispatches_max,
             second_copies: facts.second_copies,
             invs: HashMap::new(),
+            ids: HashSet::new(),
             open: 0,
             dispatches: HashMap::new(),
             last_dispatch: 0,
@@ -233,7 +238,7 @@
     pub fn apply(&mut self, now: Tenths, input: Input) -> Vec<Effect> {
         self.ledger.now = self.ledger.now.max(now);
         match input {
-            Input::Arrived { ticket, call, op, until } => self.arrived(ticket, call, op, until),
+            Input::Arrived { ticket, id, call, op, until } => self.arrived(ticket, id, call, op, until),
             Input::Left(ticket) => self.left(&id_of(ticket)),
             Input::Ended(id, outcome) => self.ended(id, outcome),
             Input::Listed(list) => {
@@ -294,9 +299,13 @@
         self.ledger.forget_if_over(inv);
     }
 
-    fn arrived(&mut self, ticket: Ticket, call: Arc<Call>, op: Op, until: Tenths) {
+    fn arrived(&mut self, ticket: Ticket, id: ClientId, call: Arc<Call>, op: Op, until: Tenths) {
+        if !self.ledger.ids.insert(id.clone()) {
+            // A pod that gets both would take one for the other.
+            return self.ledger.effects.push(Effect::Answer(ticket, FinalAnswer::IdTaken));
+        }
         let inv = id_of(ticket);
-        let held = Held { ticket, call, until, sent: 0, out: Vec::new(), answered: false };
+        let held = Held { ticket, id, call, until, sent: 0, out: Vec::new(), answered: false };
         self.ledger.invs.insert(inv.clone(), held);
         self.ledger.open += 1;
         self.balancer.invocation(&mut self.ledger, inv, None, op, until);
--- a/crates/stagepond-sidecar/src/shell.rs
+++ b/crates/stagepond-sidecar/src/shell.rs
@@ -9,7 +9,7 @@
 use tokio::sync::{mpsc, watch, Notify};
 
 use crate::discovery;
-use crate::front::{Front, Operations};
+use crate::front::{self, Front, Operations};
 use crate::launch::Launch;
 use crate::lifecycle::State;
 use crate::messages::*;
@@ -23,6 +23,8 @@
 const SPARE_SOCKETS: usize = 48;
 /// An invocation has one client and mostly one dispatch out; a dispatch may outlive its client.
 const FRONT_SHARE: f64 = 0.45;
+/// All clients with half a message each take a third of the memory at most, as may all pods with half an answer.
+const MEMORY_PARTS: usize = 3;
 /// News that wait for the loop; beyond it their senders wait.
 const NEWS_QUEUE: usize = 64;
 /// A list passes three tasks from its socket to this loop: one turn of the runtime for each.
@@ -38,6 +40,7 @@
 
     let shared = launch.transport.sockets - SPARE_SOCKETS.min(launch.transport.sockets / 2);
     let clients_max = (shared as f64 * FRONT_SHARE) as usize;
+    let clients_max = clients_max.min(launch.transport.memory / MEMORY_PARTS / front::CONNECTION_BYTES);
     let repeats = launch.facts.operations.iter().map(|o| o.repeat);
     let operations = Operations(names.operations.iter().cloned().zip(repeats).collect());
     let front = Front::new(operations, clients_max, clock, inputs.clone());
--- a/crates/stagepond-sidecar/src/stories.rs
+++ b/crates/stagepond-sidecar/src/stories.rs
@@ -116,7 +116,8 @@
             body: Default::default(),
         };
         let ticket = Ticket(self.tickets);
-        let input = Input::Arrived { ticket, call: Arc::new(call), op, until: self.now + LIMIT };
+        let id = ClientId(format!("{}", self.tickets).into());
+        let input = Input::Arrived { ticket, id, call: Arc::new(call), op, until: self.now + LIMIT };
         (ticket, self.input(input))
     }
 
--- a/crates/stagepond-sidecar/src/wire.rs
+++ b/crates/stagepond-sidecar/src/wire.rs
@@ -12,7 +12,8 @@
 
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper_util::client::legacy::connect::{Connected, Connection};
-use nix::sys::socket::{recvmsg, setsockopt, sockopt, ControlMessageOwned, MsgFlags};
+use nix::errno::Errno;
+use nix::sys::socket::{recv, recvmsg, setsockopt, sockopt, ControlMessageOwned, MsgFlags};
 use nix::sys::time::TimeSpec;
 use stagepond::host::Tenths;
 use tokio::io::Interest;
@@ -32,6 +33,86 @@
 }
 
 const HEAD_END: &[u8; 4] = b"\r\n\r\n";
+/// The longest head, and the most that a connection's buffer holds: far over any usual one.
+pub const HEAD_MAX: usize = 16 << 10;
+const FIELDS_MAX: usize = 100;
+
+/// Where in a message the bytes that came in last stand, and what its head says of its length. The library
+/// drops one of two lengths before a handler sees it, and whoever reads the other one finds a second message
+/// in the body. So both are counted here, in the bytes themselves.
+#[derive(Debug)]
+enum Reading {
+    Head(Vec<u8>),
+    Body(u64),
+    /// The length is not told by the head: how far it has gone is for the library alone to know.
+    Unknown,
+}
+
+#[derive(Debug)]
+struct Heads {
+    reading: Reading,
+    begun_at: Option<Tenths>,
+    lengths: usize,
+}
+
+impl Default for Heads {
+    fn default() -> Heads {
+        Heads { reading: Reading::Head(Vec::new()), begun_at: None, lengths: 0 }
+    }
+}
+
+impl Heads {
+    fn came(&mut self, mut bytes: &[u8], at: Tenths) {
+        while !bytes.is_empty() {
+            let begun_at = self.begun_at.get_or_insert(at);
+            match &mut self.reading {
+                Reading::Head(so_far) => {
+                    let before = so_far.len();
+                    so_far.extend_from_slice(&bytes[..bytes.len().min(HEAD_MAX.saturating_sub(before))]);
+                    let mut fields = [httparse::EMPTY_HEADER; FIELDS_MAX];
+                    let mut head = httparse::Request::new(&mut fields);
+                    let (end, next) = match head.parse(so_far) {
+                        Ok(httparse::Status::Complete(end)) => {
+                            (end, body_of(head.headers, &mut self.lengths))
+                        }
+                        Ok(httparse::Status::Partial) if so_far.len() < HEAD_MAX => return,
+                        // Not a head, or too long a one: the library turns it away.
+                        _ => (so_far.len(), Reading::Unknown),
+                    };
+                    bytes = &bytes[end.saturating_sub(before).min(bytes.len())..];
+                    self.reading = next;
+                    // The next one begins with the next byte.
+                    if let Reading::Body(0) = self.reading {
+                        (self.reading, self.begun_at) = (Reading::Head(Vec::new()), None);
+                    }
+                }
+                Reading::Body(left) => {
+                    let here = (*left).min(bytes.len() as u64);
+                    (*left, bytes) = (*left - here, &bytes[here as usize..]);
+                    if *left == 0 {
+                        (self.reading, self.begun_at) = (Reading::Head(Vec::new()), None);
+                    }
+                }
+                Reading::Unknown => {
+                    *begun_at = (*begun_at).min(at);
+                    return;
+                }
+            }
+        }
+    }
+}
+
+/// How the body behind a head is delimited; `lengths` is set to the number of fields that say so.
+fn body_of(fields: &[httparse::Header], lengths: &mut usize) -> Reading {
+    let named = |name: &'static str| fields.iter().filter(move |f| f.name.eq_ignore_ascii_case(name));
+    *lengths = named("content-length").count() + named("transfer-encoding").count();
+    if *lengths == 0 {
+        return Reading::Body(0);
+    }
+    let only = named("content-length").next().filter(|_| *lengths == 1);
+    let text = only.and_then(|field| std::str::from_utf8(field.value).ok());
+    text.and_then(|text| text.trim().parse().ok()).map_or(Reading::Unknown, Reading::Body)
+}
 
 impl Progress {
     fn took(&mut self, bytes: &[u8]) {
@@ -53,8 +134,11 @@
 struct State {
     stream: Option<Arc<TcpStream>>,
     cut: bool,
+    retired: bool,
     progress: Progress,
     came_at: Tenths,
+    /// Only where messages come in: the head of each is followed.
+    heads: Option<Heads>,
 }
 
 /// What is known of one connection at a time, for those who hold no end of it.
@@ -76,13 +160,39 @@
         self.state().progress.whole()
     }
 
+    /// For a connection on which messages come in, their heads being followed.
+    pub fn of_messages() -> Trace {
+        let trace = Trace::default();
+        trace.state().heads = Some(Heads::default());
+        trace
+    }
+
+    /// Whether the message whose head came last gives its length more than once, and so in two ways.
+    pub fn ambiguous(&self) -> bool {
+        self.state().heads.as_ref().is_some_and(|heads| heads.lengths > 1)
+    }
+
+    /// Since when a message has been coming in that is not there in full.
+    pub fn begun_at(&self) -> Option<Tenths> {
+        self.state().heads.as_ref().and_then(|heads| heads.begun_at)
+    }
+
     /// When bytes last came.
     pub fn came_at(&self) -> Tenths {
         self.state().came_at
     }
 
-    pub fn stands(&self) -> bool {
-        self.state().stream.is_some()
+    /// No further message is to go out on it.
+    pub fn retire(&self) {
+        self.state().retired = true;
+    }
+
+    /// Whether another message may go out on it: it stands, and nothing has come that is still to be read, nor
+    /// the end. What came before the question would be taken for the answer.
+    pub fn fit(&self) -> bool {
+        let state = self.state();
+        let peek = |stream: &Arc<TcpStream>| recv(stream.as_raw_fd(), &mut [0], MsgFlags::MSG_PEEK);
+        !state.cut && !state.retired && state.stream.as_ref().map(peek) == Some(Err(Errno::EAGAIN))
     }
 
     /// Ends the sending at once, in this very call, and bars any connection still to come.
@@ -165,7 +275,12 @@
                     if len > 0 {
                         // Where the system can't stamp, the time of the read has to do.
                         let waited = Tenths((waited.unwrap_or_default().as_micros() / 100) as i64);
-                        self.trace.state().came_at = self.clock.now() - waited;
+                        let mut state = self.trace.state();
+                        state.came_at = self.clock.now() - waited;
+                        let came_at = state.came_at;
+                        if let Some(heads) = &mut state.heads {
+                            heads.came(&bytes[..len], came_at);
+                        }
                     }
                     into.put_slice(&bytes[..len]);
                     return Poll::Ready(Ok(()));
@@ -221,6 +336,29 @@
         }
     }
 
+    const CHUNKED: &str = "Transfer-Encoding: chunked\r\n";
+
+    #[rstest]
+    #[case::none("", "", false)]
+    #[case::one_length("Content-Length: 3\r\n", "abc", false)]
+    #[case::length_then_chunks(&format!("Content-Length: 3\r\n{CHUNKED}"), "", true)]
+    #[case::chunks_then_length(&format!("{CHUNKED}content-LENGTH:3\r\n"), "", true)]
+    #[case::two_lengths("Content-Length: 3\r\nContent-Length: 3\r\n", "", true)]
+    #[case::two_encodings(&format!("{CHUNKED}{CHUNKED}"), "", true)]
+    fn a_second_length_is_seen_wherever_the_bytes_are_cut(
+        #[case] lengths: &str, #[case] body: &str, #[case] ambiguous: bool,
+    ) {
+        let one = format!("POST /a HTTP/1.1\r\nHost: a\r\n{lengths}\r\n{body}");
+        let both = format!("GET / HTTP/1.1\r\nContent-Length: 0\r\n\r\n{one}");
+        for cut in 0..=both.len() {
+            let mut heads = Heads::default();
+            heads.came(&both.as_bytes()[..cut], Tenths(1));
+            heads.came(&both.as_bytes()[cut..], Tenths(2));
+            assert_eq!(heads.lengths > 1, ambiguous, "cut at {cut}");
+            assert_eq!(heads.begun_at.is_some(), ambiguous, "cut at {cut}");
+        }
+    }
+
     #[rstest]
     #[tokio::test]
     async fn bytes_are_stamped_when_they_came_not_when_they_are_read() {
--- a/examples/standins.rs
+++ b/examples/standins.rs
@@ -127,6 +127,7 @@
 
 async fn carry(mut stream: TcpStream, connection: usize, events: mpsc::UnboundedSender<Event>) {
     let (out, mut wanted) = mpsc::unbounded_channel();
+    let _ = stream.set_nodelay(true);
     let mut read = Vec::new();
     loop {
         tokio::select! {
