--- a/crates/stagepond-sidecar/src/front.rs
+++ b/crates/stagepond-sidecar/src/front.rs
@@ -47,7 +47,7 @@
 /// From this part of the bound on, what stands idle is closed ahead of need.
 const CROWDED: f64 = 0.75;
 /// With its buffer and a body, the most that one connection holds.
-pub const CONNECTION_BYTES: usize = 2 * HEAD_MAX + BODY_MAX;
+pub const CONNECTION_BYTES: usize = HEAD_MAX + BODY_MAX;
 const ID_MAX: usize = 128;
 /// No client waits for longer on one connection.
 const LIMIT_MAX: Tenths = Tenths::ms(3_600_000);
@@ -270,6 +270,11 @@
             Some(client) => client.end.cut.notify_one(),
             None => close_idle(&mut clients, 1, now),
         }
+        let open = clients.values().filter(|c| c.idle_since.is_none()).count();
+        let of_use = clients.values().filter(|c| c.of_use).count();
+        let all = clients.len();
+        self.complaints
+            .say(format_args!("clients: {all} is the bound; {of_use} of use, {open} with one open"));
         false
     }
 
--- a/crates/stagepond-sidecar/src/shell.rs
+++ b/crates/stagepond-sidecar/src/shell.rs
@@ -20,11 +20,12 @@
 
 /// Descriptors for all but clients and pods: listener, datagrams, discovery, platform, votes, the runtime's
 /// own, and a few on their way out.
-const SPARE_SOCKETS: usize = 48;
-/// An invocation has one client and mostly one dispatch out; a dispatch may outlive its client.
-const FRONT_SHARE: f64 = 0.45;
-/// All clients with half a message each take a third of the memory at most, as may all pods with half an answer.
-const MEMORY_PARTS: usize = 3;
+const SPARE_SOCKETS: usize = 32;
+/// An invocation has one client and mostly one dispatch out; but clients also connect that have nothing to
+/// send, or have been answered and stay.
+const FRONT_SHARE: f64 = 0.58;
+/// What all clients may hold together, with half a message each.
+const FRONT_MEMORY: f64 = 0.4;
 /// News that wait for the loop; beyond it their senders wait.
 const NEWS_QUEUE: usize = 64;
 /// A list passes three tasks from its socket to this loop: one turn of the runtime for each.
@@ -40,7 +41,8 @@
 
     let shared = launch.transport.sockets - SPARE_SOCKETS.min(launch.transport.sockets / 2);
     let clients_max = (shared as f64 * FRONT_SHARE) as usize;
-    let clients_max = clients_max.min(launch.transport.memory / MEMORY_PARTS / front::CONNECTION_BYTES);
+    let held = (launch.transport.memory as f64 * FRONT_MEMORY) as usize / front::CONNECTION_BYTES;
+    let clients_max = clients_max.min(held);
     let repeats = launch.facts.operations.iter().map(|o| o.repeat);
     let operations = Operations(names.operations.iter().cloned().zip(repeats).collect());
     let front = Front::new(operations, clients_max, clock, inputs.clone());
--- a/examples/standins.rs
+++ b/examples/standins.rs
@@ -16,6 +16,7 @@
     Bytes(Vec<u8>),
     Written(oneshot::Sender<()>),
     Reset,
+    End,
 }
 
 /// A message that came on one of the server's connections, and the way to answer on it.
@@ -55,6 +56,11 @@
         let _ = self.out.send(Out::Reset);
     }
 
+    /// Ends the connection in order, once all that was sent has gone out.
+    pub fn end(&self) {
+        let _ = self.out.send(Out::End);
+    }
+
     pub fn target(&self) -> &str {
         self.head.split(' ').nth(1).unwrap_or_default()
     }
@@ -142,6 +148,7 @@
             Some(want) = wanted.recv() => match want {
                 Out::Bytes(bytes) => if stream.write_all(&bytes).await.is_err() { break },
                 Out::Written(done) => drop(done.send(())),
+                Out::End => break,
                 Out::Reset => {
                     let _ = stream.set_zero_linger();
                     break;
