--- a/crates/stagepond-sidecar/src/front.rs
+++ b/crates/stagepond-sidecar/src/front.rs
@@ -75,8 +75,8 @@
     since: Tenths,
     /// Since when it stands idle; none while an invocation of it is open.
     idle_since: Option<Tenths>,
-    /// Whether it has sent a whole invocation yet.
-    of_use: bool,
+    /// How many whole messages it has sent.
+    taken: u64,
     closing: bool,
     trace: Trace,
     end: Arc<End>,
@@ -95,8 +95,8 @@
     fn cut_at(&self) -> Tenths {
         let Some(idle_since) = self.idle_since else { return Tenths::NEVER };
         let whole_by = match self.trace.begun_at() {
-            Some(begun_at) if self.of_use => begun_at + WHOLE_WITHIN,
-            None if self.of_use => Tenths::NEVER,
+            Some(begun_at) if self.taken > 0 => begun_at + WHOLE_WITHIN,
+            None if self.taken > 0 => Tenths::NEVER,
             _ => self.since + WHOLE_WITHIN,
         };
         let soon = idle_since.max(self.trace.came_at()) + HALF_SENT;
@@ -264,14 +264,14 @@
             return true;
         }
         let now = self.clock.now();
-        let silent = |c: &&Client| !c.of_use && c.idle_since.is_some() && now >= c.since + NEWCOMER;
+        let silent = |c: &&Client| c.taken == 0 && c.idle_since.is_some() && now >= c.since + NEWCOMER;
         let oldest = clients.values().filter(silent).min_by_key(|c| c.since);
         match oldest {
             Some(client) => client.end.cut.notify_one(),
             None => close_idle(&mut clients, 1, now),
         }
         let open = clients.values().filter(|c| c.idle_since.is_none()).count();
-        let of_use = clients.values().filter(|c| c.of_use).count();
+        let of_use = clients.values().filter(|c| c.taken > 0).count();
         let all = clients.len();
         self.complaints
             .say(format_args!("clients: {all} is the bound; {of_use} of use, {open} with one open"));
@@ -299,8 +299,7 @@
             }
             let mut clients = self.clients();
             clients.values().filter(|c| c.cut_at() <= now).for_each(|c| c.end.cut.notify_one());
-            let crowd = (self.clients_max as f64 * CROWDED) as usize;
-            let over = clients.len().saturating_sub(crowd);
+            let over = clients.len().saturating_sub(self.crowd());
             close_idle(&mut clients, over, now);
         }
     }
@@ -310,7 +309,7 @@
         let client = Client {
             since: now,
             idle_since: Some(now),
-            of_use: false,
+            taken: 0,
             closing: false,
             trace: trace.clone(),
             end: end.clone(),
@@ -348,10 +347,21 @@
         }
     }
 
+    fn crowd(&self) -> usize {
+        (self.clients_max as f64 * CROWDED) as usize
+    }
+
+    /// In a crowd an answer is the last one to who has asked once only: most that stay never ask again.
+    fn is_last(&self, connection: u64) -> bool {
+        let clients = self.clients();
+        clients.len() > self.crowd() && clients.get(&connection).is_some_and(|c| c.taken < 2)
+    }
+
     fn set_idle(&self, connection: u64, idle: bool) {
         let since = idle.then(|| self.clock.now());
         if let Some(c) = self.clients().get_mut(&connection) {
-            (c.idle_since, c.of_use) = (since, true);
+            c.idle_since = since;
+            c.taken += u64::from(!idle);
         }
         if idle {
             self.changed.notify_one();
@@ -365,7 +375,7 @@
         return;
     }
     let spent =
-        |c: &&mut Client| c.of_use && !c.closing && c.idle_since.is_some_and(|s| now >= s + IDLE_KEPT);
+        |c: &&mut Client| c.taken > 0 && !c.closing && c.idle_since.is_some_and(|s| now >= s + IDLE_KEPT);
     let mut idle: Vec<&mut Client> = clients.values_mut().filter(spent).collect();
     idle.sort_by_key(|c| c.idle_since);
     idle.into_iter().take(most).for_each(Client::close);
@@ -374,6 +384,7 @@
 async fn ready(
     Shared(front): Shared<Arc<Front>>, Extension(connection): Extension<Connection>,
 ) -> StatusCode {
+    front.set_idle(connection.number, false);
     front.set_idle(connection.number, true);
     if front.ready.load(Ordering::Relaxed) {
         StatusCode::OK
@@ -475,7 +486,7 @@
     let answer = answer.await;
     drop(waiting);
     let response = worded(answer);
-    if last {
+    if last || front.is_last(connection.number) {
         close_after(response)
     } else {
         response
--- a/crates/stagepond/src/balance.rs
+++ b/crates/stagepond/src/balance.rs
@@ -253,12 +253,13 @@
     fn place_next(&mut self, host: &mut dyn Host) -> bool {
         let Some(inv) = self.ready.pop_front() else { return false };
         let Some(found) = self.invs.get(&inv).filter(|i| !i.answered && i.out() == 0) else { return true };
-        let (first, early) = (found.sent.is_empty(), self.now < found.waits);
+        // One that was cut off its stuck pod has been paid for; elsewhere it may still be in time.
+        let early = self.now < found.waits || found.sent.last().is_some_and(|s| !s.erred && !s.never_ran);
         let held = early && found.may_have_run().is_none();
         let room = found.sent.len() < self.facts.dispatches_max && self.now < found.until;
         // A third pod would err too: the clients' own errors must not fill the fleet.
         let hope = found.sent.iter().filter(|s| s.erred).count() < 2 && self.may_send_again(found);
-        let may = room && (first || early && hope);
+        let may = room && (found.sent.is_empty() || early && hope);
         match if may { self.choose(&inv) } else { None } {
             Some(pod) => self.send(host, &inv, pod),
             None if may && held => self.waiting.push_back(inv),
@@ -296,8 +297,7 @@
         self.now >= *self.on_since.get_or_insert(self.now) + turn && self.cast(host, told, Verdict::On)
     }
 
-    /// Good and bad news at one pace, or at its lower bound a total would miss the slower kind. Without news
-    /// all sidecars together say only so much to mend what was lost as a few would.
+    /// Good and bad news at one pace. Without news all sidecars together repeat only as much as a few would.
     fn speak(&mut self, host: &mut dyn Host) -> bool {
         let Some(build) = self.judged.filter(|_| self.now >= self.speak_at) else { return false };
         self.speak_at = self.now + SPEAK_EVERY;
@@ -344,12 +344,10 @@
     fn look_again(&mut self, host: &mut dyn Host, inv: &InvId) {
         let found = &self.invs[inv];
         let Some(nth) = found.sent.iter().position(|s| !s.over) else { return };
-        let stuck = self.stuck(found.sent[nth].pod);
-        if !stuck
-            || found.sent.len() >= self.facts.dispatches_max
-            || self.spare_sends < 1.0
-            || !self.may_send_again(found)
-        {
+        let left = found.sent.len() < self.facts.dispatches_max && self.spare_sends >= 1.0;
+        // Where many are late, what looks stuck is a queue, and the pod works on at what is cut off.
+        let stuck = self.tardy[0] < TARDY / 2.0 && self.stuck(found.sent[nth].pod);
+        if !stuck || !left || !self.may_send_again(found) {
             let later = self.now + self.facts.operations[found.op.0].slo_time.part(0.2);
             return self.due.push(later, inv);
         }
@@ -554,7 +552,9 @@
         let counts = matches!(ending, Ending::Succeeded | Ending::Error | Ending::TimedOut);
         let (o, ms, age) = (op.0, took.0 as f64 / 10.0, self.now - self.pods.born[p]);
         let judged = Some(self.pods.build[p]) == self.judged;
-        if !counts || judged && age < FRESH {
+        // What was cut off for looking stuck is slow; else who never answers is never found so.
+        let cut = judged && ending == Ending::Cancelled;
+        if !(counts || cut) || judged && age < FRESH {
             return;
         }
         let (released, watching) = (self.released(), self.news().is_some());
@@ -563,37 +563,37 @@
         let usual = &mut self.usual[self.pods.kind[p].0 * self.facts.operations.len() + o];
         // While the trial carries its part the earlier pods carry less than before, and answer sooner.
         let before = judged && self.calm_seconds > 0.0;
-        let slow = late || ms > usual.slow_mark.max(if before { usual.mark_before } else { 0.0 });
+        let slow = late || cut || ms > usual.slow_mark.max(if before { usual.mark_before } else { 0.0 });
         if age >= FRESH && !erred && (!judged || self.alone || !even) {
             let mark = if watching { usual.mark_before } else { usual.slow_mark };
             self.fleet = (self.fleet.0 + f64::from(late || ms > mark), self.fleet.1 + 1.0);
         }
         if judged {
             self.mine.seen = self.mine.seen.saturating_add(1);
-            // While earlier pods fail too, only what most trial pods do is the build's.
-            let struck = |set: &[usize]| set.iter().filter(|p| self.pods.sick[**p] > SICK).count();
-            let others = erred && !released && struck(&self.earlier) > 0;
+            // While earlier pods fail too, or few of its own do, only what most of them do is the build's.
+            let sick = &self.pods.sick;
+            let few =
+                |set: &[usize], at| set.iter().filter(|p| sick[**p] > at).count() <= set.len().max(2) / 2;
+            let own = if released { &self.earlier } else { &self.trial };
+            let lone = sick[p] > SICK * 0.75 && few(own, SICK / 16.0);
+            let others = !released && self.earlier.iter().any(|&p| sick[p] > SICK) && few(own, SICK);
             // What sets in long after a release is not the build's, and no earlier pod is left to show it.
             let old = released && self.told.is_some_and(|t| self.now > t.from + ON_WAIT.part(2.0));
-            let excused = old || others && struck(&self.trial) * 2 <= self.trial.len().max(2);
+            let excused = old || erred && (lone || others);
             let known = self.erring[o].share.clamp(P0_FLOOR, 0.9);
-            let weight = if excused { 0.0 } else { ratio(erred, known, known + P1_ABOVE) };
+            let weight = if excused || cut { 0.0 } else { ratio(erred, known, known + P1_ABOVE) };
             // Beside no answers or near idle pods, or near the limit, a slow build is like a slow hour.
             let fresh = even && self.tardy[0] < TARDY / 2.0 && self.now < usual.at + SILENT_AFTER;
-            if !erred
-                && !released
-                && age >= self.facts.warm_after
-                && fresh
-                && usual.answers >= P0_TRUSTED_AFTER
-            {
+            let ripe = !erred && !released && age >= self.facts.warm_after;
+            if ripe && fresh && usual.answers >= P0_TRUSTED_AFTER {
                 let doubt = 0.5 / f64::from(usual.answers.min(64)).sqrt(); // small sidecars know little
                 let p0 = (usual.slow_share + doubt).clamp(0.05, 0.6);
-                // Near the limit slow answers come in longer runs still.
-                let runs = if self.open as f64 > self.room * 0.6 { 0.4 } else { 1.0 };
+                let runs = if self.open as f64 > self.room * 0.6 { 0.4 } else { 1.0 }; // they come in runs
                 self.feed(SLOW, SLOW_WEIGHT * runs * ratio(slow, p0, p0 + SLOW_ABOVE));
             }
             self.feed(ERRED, weight);
-            self.feed(WRONG, if erred { 0.0 } else { -NO_FLAG_WEIGHT * WRONG_SHARE * self.facts.flag_share });
+            let right = f64::from(!erred && !cut) * NO_FLAG_WEIGHT * WRONG_SHARE * self.facts.flag_share;
+            self.feed(WRONG, -right);
         } else if age >= self.facts.warm_after {
             self.erring[o].note(erred, 256.0);
             if !erred {
