--- a/crates/stagepond-simhost/src/wire.rs
+++ b/crates/stagepond-simhost/src/wire.rs
@@ -280,7 +280,7 @@
                 let ending = parts.ending("ending")?;
                 balancer.outcome(host, &inv, last, nth, took, ending, parts.in_flight()?);
             }
-            "HEAD_RECEIVED" => balancer.head(host, &parts.inv()?),
+            "HEAD_RECEIVED" => balancer.aborted(host, &parts.inv()?),
             "ABORTED" => balancer.aborted(host, &parts.inv()?),
             "BELL" => balancer.wake(host, parts.parse("token")?),
             // Probe results and tallies are read by no decision: for the module, time passes.
--- a/crates/stagepond/src/balance.rs
+++ b/crates/stagepond/src/balance.rs
@@ -87,12 +87,9 @@
         self.spare_sends = (self.spare_sends + 0.1).min(20.0);
         let (bucket, cap) = (self.bucket(op), self.cap());
         self.allowance[bucket] += cap;
-        if let Some(key) = key {
-            self.lanes[key.lane(LANES)] += 1.0;
-        }
-        let grade = self.grade(op);
+        key.iter().for_each(|key| self.lanes[key.lane(LANES)] += 1.0);
         // A sidecar with little traffic keeps within less than one invocation by chance.
-        if self.open as f64 + self.rng.f64() >= self.room * grade {
+        if self.open as f64 + self.lost + self.rng.f64() >= self.room * self.grade(op) {
             self.fleet = (self.fleet.0 + 1.0, self.fleet.1 + 1.0);
             host.throttle(&inv, self.facts.stay_away_max);
             return self.settle(host);
@@ -214,10 +211,6 @@
         self.settle(host);
     }
 
-    pub fn head(&mut self, host: &mut dyn Host, inv: &InvId) {
-        self.aborted(host, inv);
-    }
-
     pub fn wake(&mut self, host: &mut dyn Host, _token: u64) {
         self.settle(host);
     }
@@ -491,7 +484,7 @@
         // A report ages: a pod once found busy and avoided since would never be found idle again.
         let age = (self.now - self.pods.heard[p]).secs().max(0.0);
         let others = self.pods.others[p] / (1.0 + 6.0 * age);
-        (self.pods.held[p] as f64 + others) / self.power(p)
+        (self.pods.held[p] as f64 + self.pods.lost[p] + others) / self.power(p)
     }
 
     fn cold_rate(&self, p: usize) -> f64 {
@@ -518,6 +511,7 @@
 
     fn note_pod(&mut self, p: usize, at: Tenths, ending: Ending, in_flight: Option<f64>, tardy: bool) {
         self.pods.held[p] = self.pods.held[p].saturating_sub(1);
+        self.pods.lost[p] += f64::from(matches!(ending, Ending::TimedOut | Ending::Cancelled));
         if let Some(n) = in_flight {
             self.pods.others[p] += ((n - self.pods.held[p] as f64).max(0.0) - self.pods.others[p]) * 0.5;
         }
@@ -530,7 +524,7 @@
                 (self.pods.strikes[p], self.pods.heard[p]) = (0, self.now);
                 self.pods.sick[p] *= if ending == Ending::Error { 1.0 } else { 11.0 / 12.0 };
             }
-            Ending::TimedOut if self.pods.heard[p] > at => {}
+            Ending::TimedOut if self.pods.heard[p] > at || !tardy => {}
             Ending::TimedOut | Ending::NoConnection | Ending::Reset => {
                 // A process that took no connection may have died, and comes back cold before the list knows.
                 if ending != Ending::TimedOut {
@@ -554,7 +548,8 @@
         let judged = Some(self.pods.build[p]) == self.judged;
         // What was cut off for looking stuck is slow; else who never answers is never found so.
         let cut = judged && ending == Ending::Cancelled;
-        if !(counts || cut) || judged && age < FRESH {
+        let hasty = ending == Ending::TimedOut && took < self.facts.operations[o].slo_time.part(0.5);
+        if hasty || !(counts || cut) || judged && age < FRESH {
             return;
         }
         let (released, watching) = (self.released(), self.news().is_some());
@@ -656,6 +651,7 @@
         let slo = self.facts.operations[op.0].slo_time;
         let tardy = match ending {
             _ if self.now == self.stood_still => return,
+            Ending::TimedOut if took < slo.part(0.5) => return, // the client's haste
             Ending::Succeeded => took > slo.part(0.5),
             Ending::TimedOut | Ending::Full | Ending::NoConnection => true,
             _ => return,
@@ -704,6 +700,9 @@
         self.memory = (6.0 * self.rate_a_pod).clamp(4.0, 40.0);
         let fade = 1.0 - 0.2 * dt * self.rate_a_pod / self.memory;
         self.pods.lame.iter_mut().for_each(|lame| *lame *= fade);
+        // Work that was given up goes on for about as long as an answer takes now.
+        let usual = self.usual.iter().map(|u| u.ms).fold(50.0, f64::max);
+        self.lost = self.pods.ebb((-dt * 500.0 / usual).exp());
         self.most_open *= 1.0 - 0.15 * dt;
         self.weigh_fleet();
         if self.facts.one_way_keys {
--- a/crates/stagepond/src/state.rs
+++ b/crates/stagepond/src/state.rs
@@ -20,6 +20,8 @@
     pub up: Vec<bool>,
     pub listed: Vec<bool>,
     pub held: Vec<u32>,
+    /// What it may still work on though nobody waits for it any more.
+    pub lost: Vec<f64>,
     pub others: Vec<f64>,
     /// How much it errs, and how often it is tardy.
     pub sick: Vec<f64>,
@@ -56,6 +58,7 @@
         self.up.push(false);
         self.listed.push(true);
         self.held.push(0);
+        self.lost.push(0.0);
         self.others.push(0.0);
         self.sick.push(0.0);
         self.lame.push(0.0);
@@ -68,6 +71,12 @@
         p
     }
 
+    /// Lets what is still worked on in vain ebb by this factor; what is left of it at all pods.
+    pub fn ebb(&mut self, by: f64) -> f64 {
+        self.lost.iter_mut().for_each(|lost| *lost *= by);
+        self.lost.iter().sum()
+    }
+
     pub fn drop_unlisted(&mut self) {
         self.up.iter_mut().zip(&self.listed).for_each(|(up, listed)| *up &= listed);
     }
@@ -313,6 +322,7 @@
     /// Of late.
     pub(crate) most_open: f64,
     pub(crate) room: f64,
+    pub(crate) lost: f64,
     /// Answers since the room was last set: the tardy ones, and all.
     pub(crate) pace: (f64, f64),
     pub(crate) succeeded_since_pulse: f64,
--- a/crates/stagepond/tests/stories.rs
+++ b/crates/stagepond/tests/stories.rs
@@ -297,6 +297,37 @@
     assert!(burst.iter().all(|inv| s.answers(inv).is_empty()));
 }
 
+#[rstest]
+fn what_was_given_up_takes_room_until_the_pods_can_be_done_with_it() {
+    let mut s = quiet(facts());
+    for _ in 0..100 {
+        let inv = s.take(ONCE);
+        s.end(&inv, 0, 900, Ending::TimedOut);
+    }
+    let throttled = |s: &mut Sidecar| {
+        s.pass(100);
+        let burst: Vec<String> = (0..30).map(|_| s.take(ONCE)).collect();
+        burst.iter().filter(|inv| !s.answers(inv).is_empty()).count()
+    };
+    assert_eq!(throttled(&mut s), 30);
+    s.pass(9000);
+    assert_eq!(throttled(&mut s), 0);
+}
+
+#[rstest]
+#[case::in_haste(30, None)]
+#[case::after_a_long_wait(400, Some(&(2, 0, Verdict::Back)))]
+fn clients_that_wait_for_less_than_an_answer_takes_blame_no_build(
+    #[case] waited: i64, #[case] vote: Option<&(u16, u32, Verdict)>,
+) {
+    let mut s = judged(Facts { sidecars: 1, ..facts() });
+    let votes = run(&mut s, 400, |pod, n| match pod {
+        5.. => (waited, Ending::TimedOut),
+        _ => (40 + n % 40, Ending::Succeeded),
+    });
+    assert_eq!(votes.first(), vote);
+}
+
 #[rstest]
 fn one_invocation_at_a_time_can_still_be_too_many() {
     let mut s = quiet(facts());
