--- a/crates/stagepond-sidecar/src/front.rs
+++ b/crates/stagepond-sidecar/src/front.rs
@@ -49,8 +49,8 @@
 /// With its buffer and a body, the most that one connection holds.
 pub const CONNECTION_BYTES: usize = HEAD_MAX + BODY_MAX;
 const ID_MAX: usize = 128;
-/// No client waits for longer on one connection.
-const LIMIT_MAX: Tenths = Tenths::ms(3_600_000);
+/// No client waits for longer on one connection; the module forgets machines that are gone for longer.
+const LIMIT_MAX: Tenths = Tenths::ms(600_000);
 
 const ID: &str = "x-request-id";
 const OPERATION: &str = "x-priority-class";
--- a/crates/stagepond-sidecar/src/pods.rs
+++ b/crates/stagepond-sidecar/src/pods.rs
@@ -31,6 +31,11 @@
 
 /// What a pod sends behind an answer comes right behind it.
 const REST: Duration = Duration::from_millis(2);
+/// From this share of broken ones among the kept connections on, a new one costs the pod less than what breaks.
+const BREAKING: f64 = 0.04;
+/// How many dispatches that share is taken from, and how many are between two on kept ones while it is high.
+const BREAKS_OF: f64 = 64.0;
+const ASK_AGAIN: u32 = 12;
 /// A report that no machine can have is a garbled one.
 const IN_FLIGHT_MAX: f64 = 10_000.0;
 /// A pod may close what stood idle for the whole time; what is written just then would be a reset.
@@ -86,8 +91,29 @@
     task: AbortHandle,
 }
 
+/// How kept connections fare: where many break as the next message goes out, they are mostly not used again.
+#[derive(Default)]
+struct Keeping {
+    broken: f64,
+    since_asked: u32,
+}
+
+impl Keeping {
+    fn note(&mut self, broke: bool) {
+        self.broken += (f64::from(broke) - self.broken) / BREAKS_OF;
+    }
+
+    /// Whether the next dispatch may go out on a kept connection; now and then one does, or it would never end.
+    fn pays(&mut self) -> bool {
+        let pays = self.broken < BREAKING || self.since_asked >= ASK_AGAIN;
+        self.since_asked = if pays { 0 } else { self.since_asked + 1 };
+        pays
+    }
+}
+
 pub struct Pods {
     free: Free,
+    keeping: Arc<Mutex<Keeping>>,
     out: HashMap<DispatchId, Out>,
     /// One more reference than there are lanes, each of which holds one connection at most.
     lanes: Arc<()>,
@@ -103,8 +129,8 @@
         lanes_max: usize, transport: Transport, clock: Clock, inputs: mpsc::UnboundedSender<Input>,
     ) -> Pods {
         let (free, out) = (Free::default(), HashMap::new());
-        let complaints = Arc::default();
-        Pods { free, out, lanes: Arc::new(()), lanes_max, transport, clock, inputs, complaints }
+        let (complaints, keeping) = (Arc::default(), Arc::default());
+        Pods { free, keeping, out, lanes: Arc::new(()), lanes_max, transport, clock, inputs, complaints }
     }
 
     pub fn dispatch(&mut self, id: DispatchId, call: Arc<Call>, to: SocketAddr, wait: Tenths) {
@@ -121,9 +147,15 @@
         };
         let trace = lane.trace.clone();
         let (clock, inputs, free) = (self.clock, self.inputs.clone(), self.free.clone());
-        let complaints = self.complaints.clone();
+        let (complaints, keeping) = (self.complaints.clone(), self.keeping.clone());
         let task = tokio::spawn(async move {
+            let (kept, begun) = (lane.trace.stands(), clock.now());
             let (outcome, clean) = carry_out(&lane, &call, to, wait, clock, &complaints).await;
+            if kept {
+                // It broke though nothing had come since the message went out.
+                let broke = outcome.ending == Ending::Reset && lane.trace.came_at() < begun;
+                keeping.lock().expect("never held while panicking").note(broke);
+            }
             if !clean {
                 lane.trace.cut();
             }
@@ -140,8 +172,9 @@
     /// just become free only if there is no other, since more may be behind its answer.
     fn lane(&mut self, to: SocketAddr) -> Option<Lane> {
         let mut free = self.free.lock().expect("never held while panicking");
+        let keeps = self.keeping.lock().expect("never held while panicking").pays();
         if let Some(lanes) = free.get_mut(&to) {
-            lanes.retain(|lane| lane.trace.fit());
+            lanes.retain(|lane| keeps && lane.trace.fit());
             let rested = lanes.iter().rposition(|lane| lane.free_since.elapsed() >= REST);
             if let Some(lane) = rested.map(|at| lanes.remove(at)).or_else(|| lanes.pop()) {
                 return Some(lane);
@@ -261,6 +294,21 @@
 
     use super::*;
 
+    #[rstest]
+    fn kept_connections_that_mostly_break_are_seldom_used_until_they_stand_again() {
+        let mut keeping = Keeping::default();
+        let used = |keeping: &mut Keeping, broke: bool| {
+            let used = (0..240).filter(|_| keeping.pays() && (keeping.note(broke), true).1);
+            used.count()
+        };
+        assert_eq!(used(&mut keeping, false), 240);
+        assert!(used(&mut keeping, true) < 30);
+        for _ in 0..20 {
+            used(&mut keeping, false);
+        }
+        assert_eq!(used(&mut keeping, false), 240);
+    }
+
     /// The settings say rif where the protocol's example says inflight; looking for one of them, none was read.
     #[rstest]
     #[case::as_the_settings_name_it("rif=1.044,busy=0.020", Some(1.044))]
--- a/crates/stagepond-sidecar/src/reducer.rs
+++ b/crates/stagepond-sidecar/src/reducer.rs
@@ -90,15 +90,16 @@
         held.sent += 1;
         let until = until.min(held.until);
         let alone = held.out.is_empty() || self.second_copies;
-        if held.answered || nth >= self.dispatches_max || until <= self.now || !alone {
+        let over = held.answered || nth >= self.dispatches_max || until <= self.now || !alone;
+        let Some(&to) = self.addresses.get(&pod).filter(|_| !over) else {
             return self.ended.push_back((inv.clone(), nth, Ending::Moot));
-        }
+        };
         self.last_dispatch += 1;
         let id = DispatchId(self.last_dispatch);
         held.out.push((nth, id));
         self.due.insert((until, id));
         self.dispatches.insert(id, Dispatch { inv: inv.clone(), nth, at: self.now, until });
-        let (call, to) = (held.call.clone(), self.addresses[&pod]);
+        let call = held.call.clone();
         self.effects.push(Effect::Dispatch { id, call, to, wait: until - self.now });
     }
 
--- a/crates/stagepond-sidecar/src/wire.rs
+++ b/crates/stagepond-sidecar/src/wire.rs
@@ -182,6 +182,10 @@
         self.state().came_at
     }
 
+    pub fn stands(&self) -> bool {
+        self.state().stream.is_some()
+    }
+
     /// No further message is to go out on it.
     pub fn retire(&self) {
         self.state().retired = true;
--- a/crates/stagepond/src/balance.rs
+++ b/crates/stagepond/src/balance.rs
@@ -1,8 +1,7 @@
 //! Every decision of one sidecar. The interface (ids, time, `Facts`, `trait Host`) is in `host.rs`.
-//! Build a `Balancer` from the facts and a seed, call `started` once, then one entry method for each
-//! input as it comes; effects go out through `Host` before the call returns. A list comes as
-//! `list_begins`, a `pod` for each row, `list_ends`. After each input the `RULES` are gone through
-//! in order until none fires. Instances share nothing; equal inputs give equal effects.
+//! Build a `Balancer`, call `started` once, then one entry method for each input; effects go out before it
+//! returns. A list is `list_begins`, a `pod` for each row, `list_ends`. After each input the `RULES` are gone
+//! through in order until none fires. Equal inputs give equal effects.
 
 #![allow(clippy::too_many_arguments)]
 
@@ -144,7 +143,7 @@
         born: Option<Tenths>, build: Build,
     ) {
         let born = born.unwrap_or(Tenths(i64::MIN / 4));
-        let p = self.pods.entry(pod, kind, zone, cell, born, build, self.rng.f64());
+        let p = self.pods.entry(self.now, pod, kind, zone, cell, born, build, self.rng.f64());
         self.pods.weight[p] = weight.max(0.01);
         self.pods.up[p] = availability == Availability::Up;
         self.pods.listed[p] = true;
@@ -152,7 +151,7 @@
 
     pub fn list_ends(&mut self, host: &mut dyn Host) {
         self.look_up(host);
-        self.pods.drop_unlisted();
+        self.pods.drop_unlisted(self.now);
         self.sort_pods();
         self.settle(host);
     }
@@ -281,7 +280,7 @@
         let known = heard && self.seen >= 6 && !self.alone;
         let early = self.facts.stage_min + Tenths::ms(700);
         let wait = if sure && known { early } else { ON_WAIT.part(if known { 1.0 } else { 2.0 }) };
-        let open = told.phase == Phase::Trial && self.slow_spell.is_none() && self.facts.votes_move;
+        let open = told.phase == Phase::Trial && self.slow_spell != Some(true) && self.facts.votes_move;
         let melts = (0..GROUNDS).any(|g| self.totals[g] > (self.best[g] + BAND / 2.0).min(0.0));
         if !open || melts || self.now < ready.max(self.awake_since) + wait {
             self.on_since = None;
@@ -526,12 +525,14 @@
             }
             Ending::TimedOut if self.pods.heard[p] > at || !tardy => {}
             Ending::TimedOut | Ending::NoConnection | Ending::Reset => {
-                // A process that took no connection may have died, and comes back cold before the list knows.
-                if ending != Ending::TimedOut {
+                // Connections break; after a second break the process may have died, and comes back cold.
+                let again = self.pods.strikes[p] > 0;
+                if again && ending != Ending::TimedOut {
                     (self.pods.cold_at[p], self.pods.pressed[p]) = (self.now, (self.rng.f64(), self.now));
                 }
                 self.pods.strikes[p] = (self.pods.strikes[p] + 1).min(4);
-                self.pods.shunned_till[p] = self.now + Tenths::ms(250 << self.pods.strikes[p]);
+                let shun = i64::from(again || ending == Ending::TimedOut) * (250 << self.pods.strikes[p]);
+                self.pods.shunned_till[p] = self.now + Tenths::ms(shun);
             }
             _ => {}
         }
@@ -567,14 +568,13 @@
             self.mine.seen = self.mine.seen.saturating_add(1);
             // While earlier pods fail too, or few of its own do, only what most of them do is the build's.
             let sick = &self.pods.sick;
-            let few =
-                |set: &[usize], at| set.iter().filter(|p| sick[**p] > at).count() <= set.len().max(2) / 2;
             let own = if released { &self.earlier } else { &self.trial };
-            let lone = sick[p] > SICK * 0.75 && few(own, SICK / 16.0);
-            let others = !released && self.earlier.iter().any(|&p| sick[p] > SICK) && few(own, SICK);
+            let struck = |at| own.iter().filter(|p| sick[**p] > at).count();
+            let ill = !released && self.earlier.iter().any(|&p| sick[p] > SICK);
+            let others = ill && struck(SICK) <= own.len().max(2) / 2 || struck(SICK / 16.0) <= own.len() / 4;
             // What sets in long after a release is not the build's, and no earlier pod is left to show it.
             let old = released && self.told.is_some_and(|t| self.now > t.from + ON_WAIT.part(2.0));
-            let excused = old || erred && (lone || others);
+            let excused = old || erred && others;
             let known = self.erring[o].share.clamp(P0_FLOOR, 0.9);
             let weight = if excused || cut { 0.0 } else { ratio(erred, known, known + P1_ABOVE) };
             // Beside no answers or near idle pods, or near the limit, a slow build is like a slow hour.
@@ -604,8 +604,8 @@
         let sum = self.sums[ground] + weight;
         let bits = (sum / self.band).trunc();
         self.sums[ground] = sum - bits * self.band;
-        let side = if bits > 0.0 { &mut self.mine.up } else { &mut self.mine.down };
-        side[ground] = side[ground].wrapping_add(bits.abs() as u16);
+        let side = &mut (if bits > 0.0 { &mut self.mine.up } else { &mut self.mine.down })[ground];
+        *side = side.wrapping_add(bits.abs() as u16);
     }
 
     /// Held within bounds: a build that turns bad late must not work off all the credit of a good start. What
@@ -638,8 +638,8 @@
         };
         let usual = self.fleet_before.max(1.0 - SLOW_QUANTILE);
         let side = ((slow / all - usual - SHARED_FROM) / SHARED_FROM).clamp(-1.0, 1.0);
-        self.slow_spell =
-            (side > 0.0).then(|| self.slow_spell.unwrap_or(self.now < told.from + Tenths::ms(7000)));
+        let early = !self.trial.is_empty() && self.now < told.from + Tenths::ms(7000);
+        self.slow_spell = (side > 0.0).then(|| self.slow_spell.unwrap_or(early));
         if side < 0.0 || self.slow_spell == Some(true) {
             let traffic = if self.alone { 0.5 } else { self.part };
             self.feed(SHARED, side * 2.2 * secs * traffic);
--- a/crates/stagepond/src/state.rs
+++ b/crates/stagepond/src/state.rs
@@ -5,8 +5,13 @@
 
 use crate::host::*;
 
+/// For how long a machine that is gone keeps its index: longer than any invocation that met it may be open,
+/// and than a word against it may take to come.
+const GONE_KEPT: Tenths = Tenths::ms(660_000);
+
 /// Pod figures in parallel arrays under a small dense index. A restarted process or a reused id is
-/// another machine and gets a new index, so nothing learnt of the old one carries over.
+/// another machine and gets an index of its own, so nothing learnt of the old one carries over; one that
+/// has been gone for long enough gives up its index to the next.
 #[derive(Default)]
 pub struct Pods {
     pub index: HashMap<PodId, usize>,
@@ -19,6 +24,8 @@
     pub born: Vec<Tenths>,
     pub up: Vec<bool>,
     pub listed: Vec<bool>,
+    /// When it was last up.
+    pub last_up: Vec<Tenths>,
     pub held: Vec<u32>,
     /// What it may still work on though nobody waits for it any more.
     pub lost: Vec<f64>,
@@ -38,7 +45,8 @@
 impl Pods {
     #[allow(clippy::too_many_arguments)]
     pub fn entry(
-        &mut self, id: PodId, kind: Kind, zone: Zone, cell: Cell, born: Tenths, build: Build, pressed: f64,
+        &mut self, now: Tenths, id: PodId, kind: Kind, zone: Zone, cell: Cell, born: Tenths, build: Build,
+        pressed: f64,
     ) -> usize {
         if let Some(&old) = self.index.get(&id) {
             if (self.born[old], self.build[old]) == (born, build) {
@@ -46,39 +54,53 @@
             }
             self.up[old] = false;
         }
-        let p = self.id.len();
+        let p = self.vacant(now).unwrap_or(self.id.len());
         self.index.insert(id, p);
-        self.id.push(id);
-        self.kind.push(kind);
-        self.zone.push(zone);
-        self.cell.push(cell);
-        self.weight.push(1.0);
-        self.build.push(build);
-        self.born.push(born);
-        self.up.push(false);
-        self.listed.push(true);
-        self.held.push(0);
-        self.lost.push(0.0);
-        self.others.push(0.0);
-        self.sick.push(0.0);
-        self.lame.push(0.0);
-        self.heard.push(born);
-        self.shunned_till.push(Tenths(0));
-        self.strikes.push(0);
-        self.cold_at.push(born);
-        self.pressed.push((pressed, born));
-        self.rank.push(pressed.to_bits().wrapping_mul(0x9E37_79B9_7F4A_7C15));
+        put(&mut self.id, p, id);
+        put(&mut self.kind, p, kind);
+        put(&mut self.zone, p, zone);
+        put(&mut self.cell, p, cell);
+        put(&mut self.weight, p, 1.0);
+        put(&mut self.build, p, build);
+        put(&mut self.born, p, born);
+        put(&mut self.up, p, false);
+        put(&mut self.listed, p, true);
+        put(&mut self.last_up, p, now);
+        put(&mut self.held, p, 0);
+        put(&mut self.lost, p, 0.0);
+        put(&mut self.others, p, 0.0);
+        put(&mut self.sick, p, 0.0);
+        put(&mut self.lame, p, 0.0);
+        put(&mut self.heard, p, born);
+        put(&mut self.shunned_till, p, Tenths(0));
+        put(&mut self.strikes, p, 0);
+        put(&mut self.cold_at, p, born);
+        put(&mut self.pressed, p, (pressed, born));
+        put(&mut self.rank, p, pressed.to_bits().wrapping_mul(0x9E37_79B9_7F4A_7C15));
         p
     }
 
+    /// An index whose machine has been gone for long and holds nothing.
+    fn vacant(&mut self, now: Tenths) -> Option<usize> {
+        let gone = |&p: &usize| !self.up[p] && self.held[p] == 0 && now > self.last_up[p] + GONE_KEPT;
+        let p = (0..self.id.len()).find(gone)?;
+        if self.index.get(&self.id[p]) == Some(&p) {
+            self.index.remove(&self.id[p]);
+        }
+        Some(p)
+    }
+
     /// Lets what is still worked on in vain ebb by this factor; what is left of it at all pods.
     pub fn ebb(&mut self, by: f64) -> f64 {
         self.lost.iter_mut().for_each(|lost| *lost *= by);
         self.lost.iter().sum()
     }
 
-    pub fn drop_unlisted(&mut self) {
-        self.up.iter_mut().zip(&self.listed).for_each(|(up, listed)| *up &= listed);
+    pub fn drop_unlisted(&mut self, now: Tenths) {
+        for p in 0..self.id.len() {
+            self.last_up[p] = if self.up[p] { now } else { self.last_up[p] };
+            self.up[p] &= self.listed[p];
+        }
     }
 
     pub fn all_up(&self) -> impl Iterator<Item = usize> + '_ {
@@ -95,7 +117,15 @@
 
     /// The machine that had this id at that time.
     pub fn at(&self, id: PodId, then: Tenths) -> Option<usize> {
-        (0..self.id.len()).rev().find(|&p| self.id[p] == id && self.born[p] <= then)
+        let had = |&p: &usize| self.id[p] == id && self.born[p] <= then;
+        (0..self.id.len()).filter(had).max_by_key(|&p| self.born[p])
+    }
+}
+
+fn put<T>(array: &mut Vec<T>, p: usize, value: T) {
+    match array.get_mut(p) {
+        Some(place) => *place = value,
+        None => array.push(value),
     }
 }
 
@@ -508,3 +538,39 @@
         (found.op, found.until)
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use rstest::rstest;
+
+    use super::*;
+
+    /// Builds follow one another for as long as the program runs; the arrays must not grow with them.
+    #[rstest]
+    fn machines_that_are_long_gone_give_up_their_index() {
+        let mut pods = Pods::default();
+        for n in 0..5000 {
+            let now = Tenths::ms(1000 * n);
+            pods.list(n as u32 % 700, now);
+        }
+        assert!(pods.id.len() < 800 && pods.index.len() <= 700, "{} {}", pods.id.len(), pods.index.len());
+    }
+
+    #[rstest]
+    fn an_index_with_something_out_is_not_given_up() {
+        let mut pods = Pods::default();
+        pods.list(1, Tenths(0));
+        pods.held[0] = 1;
+        pods.list(2, Tenths::ms(9_000_000));
+        assert_eq!((pods.index[&PodId(1)], pods.index[&PodId(2)]), (0, 1));
+    }
+
+    impl Pods {
+        fn list(&mut self, id: u32, now: Tenths) {
+            self.listed.iter_mut().for_each(|listed| *listed = false);
+            let p = self.entry(now, PodId(id), Kind(0), Zone(0), Cell(0), now, Build(1), 0.5);
+            (self.up[p], self.listed[p]) = (true, true);
+            self.drop_unlisted(now);
+        }
+    }
+}
