--- a/crates/stagepond-sidecar/src/front.rs
+++ b/crates/stagepond-sidecar/src/front.rs
@@ -46,6 +46,9 @@
 const NEWCOMER: Tenths = Tenths::ms(50);
 /// From this part of the bound on, what stands idle is closed ahead of need.
 const CROWDED: f64 = 0.75;
+/// From this part on every answer is the last on its connection: who has just been answered may stay idle for
+/// 2 s, and places held for that long would let in fewer than knock.
+const FULL: f64 = 0.9;
 /// With its buffer and a body, the most that one connection holds.
 pub const CONNECTION_BYTES: usize = HEAD_MAX + BODY_MAX;
 const ID_MAX: usize = 128;
@@ -351,10 +354,12 @@
         (self.clients_max as f64 * CROWDED) as usize
     }
 
-    /// In a crowd an answer is the last one to who has asked once only: most that stay never ask again.
+    /// In a crowd an answer is the last one to who has asked once only: most that stay never ask again. Close to
+    /// the bound it is to everyone.
     fn is_last(&self, connection: u64) -> bool {
         let clients = self.clients();
-        clients.len() > self.crowd() && clients.get(&connection).is_some_and(|c| c.taken < 2)
+        let full = clients.len() as f64 > self.clients_max as f64 * FULL;
+        full || clients.len() > self.crowd() && clients.get(&connection).is_some_and(|c| c.taken < 2)
     }
 
     fn set_idle(&self, connection: u64, idle: bool) {
