--- a/crates/stagepond-sidecar/src/front.rs
+++ b/crates/stagepond-sidecar/src/front.rs
@@ -78,8 +78,10 @@
     since: Tenths,
     /// Since when it stands idle; none while an invocation of it is open.
     idle_since: Option<Tenths>,
-    /// How many whole messages it has sent.
+    /// How many invocations it has sent whole.
     taken: u64,
+    /// Whether it has asked if this sidecar is ready: reason to stay, but none to keep others out.
+    asks_ready: bool,
     closing: bool,
     trace: Trace,
     end: Arc<End>,
@@ -97,9 +99,10 @@
     /// client of use between two of them.
     fn cut_at(&self) -> Tenths {
         let Some(idle_since) = self.idle_since else { return Tenths::NEVER };
+        let known = self.taken > 0 || self.asks_ready;
         let whole_by = match self.trace.begun_at() {
-            Some(begun_at) if self.taken > 0 => begun_at + WHOLE_WITHIN,
-            None if self.taken > 0 => Tenths::NEVER,
+            Some(begun_at) if known => begun_at + WHOLE_WITHIN,
+            None if known => Tenths::NEVER,
             _ => self.since + WHOLE_WITHIN,
         };
         let soon = idle_since.max(self.trace.came_at()) + HALF_SENT;
@@ -313,6 +316,7 @@
             since: now,
             idle_since: Some(now),
             taken: 0,
+            asks_ready: false,
             closing: false,
             trace: trace.clone(),
             end: end.clone(),
@@ -379,22 +383,25 @@
     if most == 0 {
         return;
     }
-    let spent =
-        |c: &&mut Client| c.taken > 0 && !c.closing && c.idle_since.is_some_and(|s| now >= s + IDLE_KEPT);
+    let spent = |c: &&mut Client| {
+        (c.taken > 0 || c.asks_ready) && !c.closing && c.idle_since.is_some_and(|s| now >= s + IDLE_KEPT)
+    };
     let mut idle: Vec<&mut Client> = clients.values_mut().filter(spent).collect();
     idle.sort_by_key(|c| c.idle_since);
     idle.into_iter().take(most).for_each(Client::close);
 }
 
-async fn ready(
-    Shared(front): Shared<Arc<Front>>, Extension(connection): Extension<Connection>,
-) -> StatusCode {
-    front.set_idle(connection.number, false);
-    front.set_idle(connection.number, true);
-    if front.ready.load(Ordering::Relaxed) {
-        StatusCode::OK
+async fn ready(Shared(front): Shared<Arc<Front>>, Extension(connection): Extension<Connection>) -> Response {
+    let now = front.clock.now();
+    if let Some(client) = front.clients().get_mut(&connection.number) {
+        (client.asks_ready, client.idle_since) = (true, Some(now));
+    }
+    let status =
+        if front.ready.load(Ordering::Relaxed) { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+    if front.is_last(connection.number) {
+        close_after(status.into_response())
     } else {
-        StatusCode::SERVICE_UNAVAILABLE
+        status.into_response()
     }
 }
 
