--- /dev/null
+++ b/crates/stagepond-lab/src/leadership/mod.rs
@@ -0,0 +1,5 @@
+//! Leadership's world, its account and its proof.
+
+pub mod account;
+pub mod proof;
+pub mod world;
