--- a/crates/stagepond-leadership/src/council.rs
+++ b/crates/stagepond-leadership/src/council.rs
@@ -19,8 +19,6 @@
 
 /// Beats that wait for their answers; older ones can't lengthen a lease any more.
 const ROUNDS_MAX: usize = 32;
-/// What an append holds besides its entries.
-const APPEND_BYTES: usize = 64;
 /// Messages that wait for a promise to be kept.
 const HELD_BACK_MAX: usize = 256;
 /// A founding is given up after so many holds.
@@ -612,15 +610,11 @@
         // Below the base nothing is kept one by one: it hears how far this one is and fetches.
         let before = Number(progress.next.0.saturating_sub(1)).max(record.base());
         let term_before = record.term_at(before).unwrap_or_default();
-        let entries = fitting(record.after(before), BODY_MAX - APPEND_BYTES);
-        let message = Message::Append {
-            term: self.promises.term,
-            memory: self.me.memory,
-            round: leading.round,
-            before: (term_before, before),
-            commit: record.commit(),
-            entries,
-        };
+        let (term, memory, round) = (self.promises.term, self.me.memory, leading.round);
+        let (before, commit) = ((term_before, before), record.commit());
+        let with = |entries| Message::Append { term, memory, round, before, commit, entries };
+        let room = BODY_MAX - with(Vec::new()).encode().len();
+        let message = with(fitting(record.after(before.1), room));
         self.send(voter.seat, message);
     }
 
@@ -793,8 +787,8 @@
         if !self.leads() || self.promises.record.voters_waiting() {
             return;
         }
-        if !voters.joint.is_empty() {
-            self.propose(Decree::Voters(Voters::of(voters.joint)));
+        if voters.change.is_some() {
+            self.propose(Decree::Voters(Voters::of(voters.after())));
         } else if !voters.has(&self.me) {
             self.step_down(now, "no voter any more");
         }
@@ -873,7 +867,7 @@
         if self.promises.record.voters_waiting() || self.mandate(now).is_none() {
             return;
         }
-        if !voters.joint.is_empty() {
+        if voters.change.is_some() {
             return self.voters_in_force(now);
         }
         let reborn = voters.now.iter().find_map(|v| {
@@ -891,14 +885,8 @@
             Some((*out, Voter { seat, memory }))
         };
         let Some((out, new)) = reborn.or_else(spare) else { return };
-        let mut joint: Vec<Voter> = voters.now.iter().copied().filter(|v| *v != out).collect();
-        joint.push(new);
-        joint.sort();
-        let change = if self.planted.has(Fault::NoJointQuorum) {
-            Voters::of(joint)
-        } else {
-            Voters { now: voters.now, joint }
-        };
+        let joint = Voters { now: voters.now, change: Some((out, new)) };
+        let change = if self.planted.has(Fault::NoJointQuorum) { Voters::of(joint.after()) } else { joint };
         self.propose(Decree::Voters(change));
         self.follow_voters(now);
     }
--- a/crates/stagepond-leadership/src/instance.rs
+++ b/crates/stagepond-leadership/src/instance.rs
@@ -168,7 +168,7 @@
             leader: self.council.leader(),
             leads: self.council.leads(),
             in_force: self.council.in_force(),
-            changing: !voters.joint.is_empty(),
+            changing: voters.change.is_some(),
             voters: voters.now,
             alive: self.members.count(Health::Alive),
             suspect: self.members.count(Health::Suspect),
--- a/crates/stagepond-leadership/src/record.rs
+++ b/crates/stagepond-leadership/src/record.rs
@@ -8,37 +8,48 @@
 use crate::bounds::VOTERS_MAX;
 use crate::ids::*;
 
-/// Who votes. While `joint` is not empty the set is on its way from `now` to `joint` and both must agree
-/// (Raft, section 6).
+/// Who votes. While a change is on its way, both the set before it and the set after it must agree (Raft,
+/// section 6): one voter makes room for one other.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Voters {
     pub now: Vec<Voter>,
-    pub joint: Vec<Voter>,
+    /// Who goes, and who comes instead.
+    pub change: Option<(Voter, Voter)>,
 }
 
 impl Voters {
     pub fn of(now: Vec<Voter>) -> Voters {
-        Voters { now, joint: Vec::new() }
+        Voters { now, change: None }
+    }
+
+    /// The set that a change leads to; the set itself where none is on its way.
+    pub fn after(&self) -> Vec<Voter> {
+        let mut after = self.now.clone();
+        if let Some((out, new)) = self.change {
+            after.retain(|v| *v != out);
+            after.push(new);
+            after.sort();
+        }
+        after
     }
 
     pub fn has(&self, voter: &Voter) -> bool {
-        self.now.contains(voter) || self.joint.contains(voter)
+        self.now.contains(voter) || self.change.is_some_and(|(_, new)| new == *voter)
     }
 
     pub fn all(&self) -> impl Iterator<Item = Voter> + '_ {
-        let further = self.joint.iter().filter(|v| !self.now.contains(v));
-        self.now.iter().chain(further).copied()
+        self.now.iter().copied().chain(self.change.map(|(_, new)| new))
     }
 
     /// Whether those who agree are a quorum of each set that must.
     pub fn quorum(&self, agrees: impl Fn(&Voter) -> bool) -> bool {
         let most = |set: &[Voter]| set.iter().filter(|v| agrees(v)).count() * 2 > set.len();
-        most(&self.now) && (self.joint.is_empty() || most(&self.joint))
+        most(&self.now) && (self.change.is_none() || most(&self.after()))
     }
 
     fn sound(&self) -> bool {
-        let few = |set: &[Voter]| set.len() <= VOTERS_MAX;
-        !self.now.is_empty() && few(&self.now) && few(&self.joint)
+        let fits = |(out, new): (Voter, Voter)| self.now.contains(&out) && !self.now.contains(&new);
+        !self.now.is_empty() && self.now.len() <= VOTERS_MAX && self.change.is_none_or(fits)
     }
 }
 
@@ -317,8 +328,7 @@
     #[rstest]
     fn on_the_way_from_one_set_to_another_both_must_agree() {
         let voter = |seat| Voter { seat: Seat(seat), memory: Memory(7) };
-        let voters =
-            Voters { now: vec![voter(0), voter(1), voter(2)], joint: vec![voter(1), voter(2), voter(3)] };
+        let voters = Voters { now: vec![voter(0), voter(1), voter(2)], change: Some((voter(0), voter(3))) };
         let quorum = |seats: &[u16]| voters.quorum(|v| seats.contains(&v.seat.0));
         assert!(!quorum(&[0, 1]) && !quorum(&[2, 3]) && quorum(&[1, 2]) && quorum(&[0, 1, 3]));
     }
--- a/crates/stagepond-leadership/src/wire.rs
+++ b/crates/stagepond-leadership/src/wire.rs
@@ -231,7 +231,7 @@
     #[test]
     fn the_longest_messages_fit_a_datagram() {
         let voter = |n: u16| Voter { seat: Seat(60_000 + n), memory: Memory((1 << 45) + u64::from(n)) };
-        let voters = Voters { now: (0..7).map(voter).collect(), joint: (1..8).map(voter).collect() };
+        let voters = Voters { now: (0..7).map(voter).collect(), change: Some((voter(0), voter(8))) };
         let (term, number) = (Term::founding(Era(1 << 43)), Number(1 << 40));
         let entry = Entry {
             term,
