--- a/crates/stagepond-sidecar/src/front.rs
+++ b/crates/stagepond-sidecar/src/front.rs
@@ -25,11 +25,9 @@
 use tokio::sync::{mpsc, oneshot, Notify};
 
 use crate::messages::*;
-use crate::pods::duration;
 use crate::stream::Complaints;
 use crate::wire::{Trace, Wire, HEAD_MAX};
 
-pub const BODY_MAX: usize = 64 << 10;
 /// Connections that wait while the loop is busy; the system may hold fewer.
 const BACKLOG: u32 = 1024;
 /// Out of descriptors for now: what ends next frees one, and until then there is no spinning.
--- /dev/null
+++ b/crates/stagepond-sidecar/src/lib.rs
@@ -0,0 +1,18 @@
+//! The sidecar as a library: one reducer that owns all state, and the parts on sockets around it. The binary
+//! `stagepond` starts it; the laboratory drives the reducer alone.
+
+pub mod cli;
+pub mod discovery;
+pub mod front;
+pub mod launch;
+pub mod lifecycle;
+pub mod messages;
+pub mod peers;
+pub mod platform;
+pub mod pods;
+pub mod reducer;
+pub mod shell;
+#[cfg(test)]
+mod stories;
+pub mod stream;
+pub mod wire;
--- a/crates/stagepond-sidecar/src/messages.rs
+++ b/crates/stagepond-sidecar/src/messages.rs
@@ -10,6 +10,13 @@
 use hyper::{HeaderMap, Method};
 use stagepond::host::*;
 
+/// The longest body of an invocation or an answer.
+pub const BODY_MAX: usize = 64 << 10;
+
+pub fn duration(t: Tenths) -> std::time::Duration {
+    std::time::Duration::from_micros(t.0.max(0) as u64 * 100)
+}
+
 /// An invocation as the front counts them; the client's own id may come twice, this one never does.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct Ticket(pub u64);
--- a/crates/stagepond-sidecar/src/pods.rs
+++ b/crates/stagepond-sidecar/src/pods.rs
@@ -23,7 +23,6 @@
 use tokio::sync::mpsc;
 use tokio::task::AbortHandle;
 
-use crate::front::BODY_MAX;
 use crate::launch::Transport;
 use crate::messages::*;
 use crate::stream::Complaints;
@@ -46,10 +45,6 @@
 const NOT_RUN: &str = "x-not-processed";
 const TIME_LIMIT: &str = "x-timeout-ms";
 
-pub fn duration(t: Tenths) -> Duration {
-    Duration::from_micros(t.0.max(0) as u64 * 100)
-}
-
 #[derive(Clone)]
 struct Dial {
     to: SocketAddr,
--- a/crates/stagepond-sidecar/src/shell.rs
+++ b/crates/stagepond-sidecar/src/shell.rs
@@ -15,7 +15,7 @@
 use crate::messages::*;
 use crate::peers::Peers;
 use crate::platform::{self, Vote};
-use crate::pods::{duration, Pods};
+use crate::pods::Pods;
 use crate::reducer::Reducer;
 
 /// Descriptors for all but clients and pods: listener, datagrams, discovery, platform, votes, the runtime's
