--- a/crates/stagepond-sidecar/src/cli.rs
+++ b/crates/stagepond-sidecar/src/cli.rs
@@ -8,35 +8,44 @@
 use tokio::signal::unix::{signal, SignalKind};
 
 use crate::launch::{self, Reading};
-use crate::shell;
+use crate::{operators, shell};
 
 const HELP: &str = "\
 stagepond: an invocation router and release judge, as a sidecar
 
-    stagepond serve [--config FILE]   run the sidecar until SIGTERM; SIGHUP reads FILE again
-    stagepond check [--config FILE]   read the configuration and say what is wrong with it
+    stagepond serve [--config FILE] [--operators FILE]
+                           run the sidecar until SIGTERM; SIGHUP reads both files again
+    stagepond check [--config FILE] [--operators FILE]
+                           read both files and say what is wrong with them
     stagepond version
     stagepond help
 
 FILE is $BALANCER_CONFIG unless given. $BALANCER_NAME, $BALANCER_LISTEN and
 $BALANCER_DISCOVERY go before what it says. $STAGEPOND_LOG sets what is logged
-(error, warn, info, debug, trace).
+(error, warn, info, debug, trace), $STAGEPOND_LOG_FORM in what form (text, json).
+The operators' file (JSON5) is $STAGEPOND_OPERATORS unless given; without one all
+that it could switch on is off.
 ";
 
-fn read(config: &Option<PathBuf>, reading: Reading) -> Result<launch::Launch> {
+fn read(config: &Option<PathBuf>, operators: &Option<PathBuf>, reading: Reading) -> Result<launch::Launch> {
     let env = |name: &str| std::env::var(name).ok();
     let path = config.clone().or_else(|| env("BALANCER_CONFIG").map(PathBuf::from));
     let path = path.context("no configuration: neither --config nor BALANCER_CONFIG is given")?;
     let text = std::fs::read_to_string(&path).with_context(|| path.display().to_string())?;
-    launch::read(&text, env, reading)
+    let mut launch = launch::read(&text, env, reading)?;
+    if let Some(path) = operators.clone().or_else(|| env("STAGEPOND_OPERATORS").map(PathBuf::from)) {
+        launch.operators = operators::read(&path, &launch.facts)?;
+    }
+    Ok(launch)
 }
 
 fn run() -> Result<()> {
     let mut parser = lexopt::Parser::from_env();
-    let (mut command, mut config) = (None, None);
+    let (mut command, mut config, mut operators) = (None, None, None);
     while let Some(arg) = parser.next()? {
         match arg {
             Long("config") => config = Some(PathBuf::from(parser.value()?)),
+            Long("operators") => operators = Some(PathBuf::from(parser.value()?)),
             Short('h') | Long("help") => command = Some("help".to_string()),
             Short('V') | Long("version") => command = Some("version".to_string()),
             Value(word) if command.is_none() => command = Some(word.string()?),
@@ -51,16 +60,30 @@
             let hangups = runtime.block_on(async { signal(SignalKind::hangup()) }).context("SIGHUP")?;
             let filter = tracing_subscriber::EnvFilter::try_from_env("STAGEPOND_LOG")
                 .unwrap_or_else(|_| tracing_subscriber::EnvFilter::new("info"));
-            tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr).init();
-            let launch = read(&config, Reading::Start)?;
-            let reread = move || read(&config, Reading::Again).map(|launch| launch.places);
+            let log = tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr);
+            match std::env::var("STAGEPOND_LOG_FORM").as_deref() {
+                Ok("json") => log.json().flatten_event(true).init(),
+                Ok("text") | Err(_) => log.init(),
+                Ok(other) => bail!("STAGEPOND_LOG_FORM: {other:?} is neither text nor json"),
+            }
+            let launch = read(&config, &operators, Reading::Start)?;
+            let reread = move || read(&config, &operators, Reading::Again).map(launch::Launch::changes);
             let ended = runtime.block_on(shell::serve(launch, reread, hangups));
             runtime.shutdown_background();
             ended
         }
         Some("check") => {
-            let launch = read(&config, Reading::Start)?;
+            let launch = read(&config, &operators, Reading::Start)?;
             println!("{}: {} pods known, all well", launch.name, launch.known.rows.len());
+            if let Some(leadership) = &launch.operators.leadership {
+                let b = &leadership.bounds;
+                let pool: Vec<u16> = b.pool.iter().map(|s| s.0).collect();
+                let (lease, disk) = (b.lease().0 / 10, leadership.state.is_some());
+                println!(
+                    "leadership: {} voters of the seats {pool:?}, a lease of {lease} ms, with a disk: {disk}",
+                    b.voters
+                );
+            }
             launch.missing.iter().for_each(|what| println!("not there on sockets: {what}"));
             Ok(())
         }
--- a/crates/stagepond-sidecar/src/launch.rs
+++ b/crates/stagepond-sidecar/src/launch.rs
@@ -10,7 +10,8 @@
 use stagepond_facts::Names;
 
 use crate::discovery;
-use crate::messages::{List, Places, Standing};
+use crate::messages::{Changes, List, Places, Standing};
+use crate::operators::Operators;
 
 /// What the transport takes from the settings; the module's part is in `Facts`.
 #[derive(Clone, Copy, Debug)]
@@ -34,6 +35,8 @@
     pub facts: Facts,
     pub names: Names,
     pub transport: Transport,
+    /// What the operators' own file switches on.
+    pub operators: Operators,
     /// What the settings switch on and this program does not have.
     pub missing: Vec<&'static str>,
 }
@@ -100,6 +103,13 @@
     }
 }
 
+impl Launch {
+    /// What of it may change while the program runs.
+    pub fn changes(self) -> Changes {
+        Changes { places: self.places, keys: self.operators.leadership.map(|l| l.ring) }
+    }
+}
+
 fn address(field: &str, text: &str) -> Result<SocketAddr> {
     text.parse().map_err(|_| anyhow!("{field}: {text:?} is not an address with a port"))
 }
@@ -180,6 +190,7 @@
             sockets: form.limits.sockets,
             memory: form.limits.memory_mb.unwrap_or(MEMORY_MB) << 20,
         },
+        operators: Operators::default(),
         missing: absent.iter().filter(|(path, _)| on(path)).map(|(_, what)| *what).collect(),
         facts,
         names,
--- a/crates/stagepond-sidecar/src/lib.rs
+++ b/crates/stagepond-sidecar/src/lib.rs
@@ -4,9 +4,12 @@
 pub mod cli;
 pub mod discovery;
 pub mod front;
+pub mod keeping;
 pub mod launch;
+pub mod leading;
 pub mod lifecycle;
 pub mod messages;
+pub mod operators;
 pub mod peers;
 pub mod platform;
 pub mod pods;
--- a/crates/stagepond-sidecar/src/messages.rs
+++ b/crates/stagepond-sidecar/src/messages.rs
@@ -9,6 +9,7 @@
 use hyper::http::uri::PathAndQuery;
 use hyper::{HeaderMap, Method};
 use stagepond::host::*;
+use stagepond_leadership::mandate::Mandate;
 
 /// The longest body of an invocation or an answer.
 pub const BODY_MAX: usize = 64 << 10;
@@ -104,6 +105,14 @@
     pub platform: Option<SocketAddr>,
 }
 
+/// What a new configuration may change while the program runs.
+#[derive(Clone, Debug)]
+pub struct Changes {
+    pub places: Places,
+    /// The operators' keys, where leadership is on.
+    pub keys: Option<crate::operators::KeyRing>,
+}
+
 #[derive(Clone, Debug)]
 pub enum Input {
     Arrived {
@@ -133,7 +142,9 @@
     /// The configuration may have been replaced.
     Hangup,
     /// What the file says now, or what is wrong with it.
-    Reread(Result<Places, String>),
+    Reread(Result<Changes, String>),
+    /// The promises of this number are on the disk.
+    Kept(u64),
     Leave,
     ListenerClosed,
     FrontEmpty,
@@ -158,7 +169,15 @@
         build: Build,
         stage: u32,
         verdict: Option<Verdict>,
+        /// Where one leads: leave to cast it, to be shown to the clock in the last step before the write.
+        mandate: Option<Mandate>,
+    },
+    /// Promises to be written whole and flushed, then answered by `Kept`.
+    Keep {
+        number: u64,
+        promises: Vec<u8>,
     },
+    Note(crate::leading::Note),
     /// Ask discovery for the whole list once more.
     WholeList,
     /// Read the configuration file again and tell what it says.
--- a/crates/stagepond-sidecar/src/platform.rs
+++ b/crates/stagepond-sidecar/src/platform.rs
@@ -8,11 +8,14 @@
 use anyhow::{anyhow, bail, Context, Result};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::header::CONTENT_TYPE;
+use hyper::header::{CONTENT_TYPE, HOST};
 use hyper::{Request, StatusCode};
+use hyper_util::rt::TokioIo;
 use serde::Deserialize;
 use stagepond::host::*;
 use stagepond_facts::Names;
+use stagepond_leadership::mandate::Mandate;
+use tokio::net::TcpStream;
 use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
 
@@ -108,34 +111,45 @@
     }
 }
 
+/// A connection ends with the call that it was opened for.
+struct AbortOnDrop(tokio::task::AbortHandle);
+
+impl Drop for AbortOnDrop {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
 pub struct Vote {
     pub build: Build,
     pub stage: u32,
     pub verdict: Option<Verdict>,
     pub until: Instant,
+    pub mandate: Option<Mandate>,
 }
 
 /// Carries votes out one after the other, as they came. One that is out when the platform moves stays where
 /// it went: it may count there.
 pub async fn votes(
     place: watch::Receiver<Option<SocketAddr>>, mut votes: mpsc::UnboundedReceiver<Vote>,
-    inputs: mpsc::Sender<Input>,
+    inputs: mpsc::Sender<Input>, clock: Clock,
 ) {
     while let Some(vote) = votes.recv().await {
         let address = *place.borrow();
         let answer = match address {
-            Some(address) => tokio::time::timeout_at(vote.until, put(address, &vote)).await,
+            Some(address) => tokio::time::timeout_at(vote.until, put(address, &vote, clock)).await,
             None => Ok(Err(Ending::NoConnection)),
         };
         let answer = answer.unwrap_or(Err(Ending::TimedOut));
-        tracing::info!(build = vote.build.0, stage = vote.stage, verdict = ?vote.verdict, ?answer, "voted");
+        let term = vote.mandate.map(|m| m.term().0);
+        tracing::info!(event = "voted", build = vote.build.0, stage = vote.stage, verdict = ?vote.verdict, ?answer, term, "voted");
         if inputs.send(Input::VoteAnswered(answer)).await.is_err() {
             return;
         }
     }
 }
 
-async fn put(address: SocketAddr, vote: &Vote) -> Result<Standing, Ending> {
+async fn put(address: SocketAddr, vote: &Vote, clock: Clock) -> Result<Standing, Ending> {
     let verdict = match vote.verdict {
         None => "abstain",
         Some(Verdict::On) => "promote",
@@ -144,18 +158,49 @@
     };
     let (build, stage) = (vote.build.0, vote.stage);
     let form = format!("Action=PutApproval&build={build}&stage={stage}&verdict={verdict}");
-    let post = Request::post(format!("http://{address}/"))
+    let post = Request::post("/")
+        .header(HOST, address.to_string())
         .header(CONTENT_TYPE, "application/x-www-form-urlencoded")
-        .body(Full::from(form))
+        .body(Full::<Bytes>::from(form))
         .expect("an address and a form make a call");
-    let answer = stream::client().request(post).await.map_err(|error| {
-        // Past that point it may have been carried out: then "nothing known" is the only true answer.
-        if error.is_connect() {
-            Ending::NoConnection
-        } else {
-            Ending::TimedOut
+    let connected = tokio::time::timeout(stream::OPEN_WITHIN, TcpStream::connect(address)).await;
+    let Ok(Ok(connection)) = connected else { return Err(Ending::NoConnection) };
+    let _ = connection.set_nodelay(true);
+    let opened = hyper::client::conn::http1::handshake(TokioIo::new(connection)).await;
+    let Ok((mut sender, connection)) = opened else { return Err(Ending::NoConnection) };
+    // Whoever has stopped leading meanwhile, by being paused or cut off, must not act on what it believed then.
+    if let Some(mandate) = &vote.mandate {
+        let now = clock.now();
+        if let Err(expired) = mandate.check(now) {
+            tracing::warn!(
+                event = "vote_stopped",
+                build = vote.build.0,
+                stage = vote.stage,
+                term = mandate.term().0,
+                "{expired}"
+            );
+            return Err(Ending::NoConnection);
         }
-    })?;
+        let (term, holder, number) = (mandate.term().0, mandate.holder().0, mandate.number().0);
+        let (at, until) = (now.0, mandate.until().0);
+        tracing::info!(
+            event = "vote_cast",
+            build = vote.build.0,
+            stage = vote.stage,
+            verdict,
+            term,
+            holder,
+            number,
+            at,
+            until,
+            "vote cast"
+        );
+    }
+    let carried = tokio::spawn(connection);
+    // Past this point it may have been carried out: then "nothing known" is the only true answer.
+    let answer = sender.send_request(post).await.map_err(|_| Ending::TimedOut);
+    let _ends = AbortOnDrop(carried.abort_handle());
+    let answer = answer?;
     let status = answer.status();
     let body = Limited::new(answer.into_body(), ANSWER_MAX).collect().await.map_err(|_| Ending::TimedOut)?;
     outcome(status, &body.to_bytes())
--- a/crates/stagepond-sidecar/src/reducer.rs
+++ b/crates/stagepond-sidecar/src/reducer.rs
@@ -13,6 +13,7 @@
 use stagepond::balance::Balancer;
 use stagepond::host::*;
 
+use crate::leading::{is_for_leadership, Came, Leading};
 use crate::lifecycle::{Lifecycle, Rereading, State};
 use crate::messages::*;
 
@@ -63,6 +64,9 @@
     pods: HashMap<PodName, Pod>,
     addresses: HashMap<PodId, SocketAddr>,
     last_pod: u32,
+    /// Where one leads, what the module wants to vote is decided for all first.
+    led: bool,
+    wanted: VecDeque<(Build, u32, Option<Verdict>)>,
     effects: Vec<Effect>,
 }
 
@@ -71,6 +75,7 @@
     ledger: Ledger,
     lifecycle: Lifecycle,
     rereading: Rereading,
+    leading: Option<Leading>,
     places: Places,
     connected: bool,
 }
@@ -137,11 +142,11 @@
     }
 
     fn vote(&mut self, build: Build, stage: u32, verdict: Verdict) {
-        self.effects.push(Effect::Vote { build, stage, verdict: Some(verdict) });
+        self.want(build, stage, Some(verdict));
     }
 
     fn withdraw_vote(&mut self, build: Build, stage: u32) {
-        self.effects.push(Effect::Vote { build, stage, verdict: None });
+        self.want(build, stage, None);
     }
 
     /// The watch always stands here, so there is nothing to ask for.
@@ -157,6 +162,13 @@
 }
 
 impl Ledger {
+    fn want(&mut self, build: Build, stage: u32, verdict: Option<Verdict>) {
+        if self.led {
+            return self.wanted.push_back((build, stage, verdict));
+        }
+        self.effects.push(Effect::Vote { build, stage, verdict, mandate: None });
+    }
+
     fn answer(&mut self, inv: &InvId, answer: FinalAnswer) {
         if let Some(held) = self.invs.get_mut(inv).filter(|held| !held.answered) {
             held.answered = true;
@@ -194,6 +206,7 @@
     /// Starts the module on what the configuration holds, in the order in which the simulator tells it.
     pub fn new(
         now: Tenths, facts: Facts, seed: u64, places: Places, known: List, standing: Option<Standing>,
+        leading: Option<Leading>,
     ) -> (Reducer, Vec<Effect>) {
         let ledger = Ledger {
             now,
@@ -210,6 +223,8 @@
             pods: HashMap::new(),
             addresses: HashMap::new(),
             last_pod: 0,
+            led: leading.is_some(),
+            wanted: VecDeque::new(),
             effects: Vec::new(),
         };
         let mut reducer = Reducer {
@@ -217,11 +232,16 @@
             ledger,
             lifecycle: Lifecycle::new(now),
             rereading: Rereading::default(),
+            leading,
             places,
             connected: false,
         };
         reducer.ledger.effects.push(Effect::Enter(State::Starting));
         reducer.balancer.started(&mut reducer.ledger);
+        if reducer.leading.is_some() {
+            // Until somebody leads nobody votes.
+            reducer.balancer.leadership(&mut reducer.ledger, Vec::new(), false);
+        }
         reducer.list(known);
         if let Some(standing) = standing {
             reducer.standing(Ok(standing), false);
@@ -233,7 +253,8 @@
 
     /// When `Input::Tick` is to come at the latest.
     pub fn next_due(&self) -> Tenths {
-        self.ledger.next_due().min(self.lifecycle.next()).min(self.rereading.next())
+        let leading = self.leading.as_ref().map_or(Tenths::NEVER, Leading::next_due);
+        self.ledger.next_due().min(self.lifecycle.next()).min(self.rereading.next()).min(leading)
     }
 
     pub fn apply(&mut self, now: Tenths, input: Input) -> Vec<Effect> {
@@ -254,7 +275,11 @@
                     self.balancer.objection(&mut self.ledger, id, op, age);
                 }
             }
+            Input::Mail { from: _, words } if self.leading.is_some() && is_for_leadership(&words) => {
+                self.lead(|leading, now| leading.datagram(now, &words));
+            }
             Input::Mail { from, words } => self.balancer.peer(&mut self.ledger, from, &words),
+            Input::Kept(number) => self.lead(|leading, now| leading.kept(now, number)),
             Input::Tick => self.tick(),
             Input::Hangup => {
                 self.rereading.begin();
@@ -262,6 +287,7 @@
             }
             Input::Reread(read) => self.reread(read),
             Input::Leave => {
+                self.lead(|leading, now| leading.leave(now));
                 let state = self.lifecycle.leave(self.ledger.now);
                 self.enter(state);
             }
@@ -276,6 +302,25 @@
         std::mem::take(&mut self.ledger.effects)
     }
 
+    /// One step of leadership, where it is on, and what the module is to hear of it.
+    fn lead(&mut self, step: impl FnOnce(&mut Leading, Tenths) -> Came) {
+        let now = self.ledger.now;
+        let Some(leading) = &mut self.leading else { return };
+        let Came { effects, lead, again } = step(leading, now);
+        self.ledger.effects.extend(effects);
+        let said = if again { leading.said(now) } else { None };
+        if let Some((voters, acts)) = lead {
+            self.balancer.leadership(&mut self.ledger, voters, acts);
+        }
+        if let Some(said) = said {
+            self.hear(Ok(said), false);
+        }
+    }
+
+    pub fn leading(&self) -> Option<&Leading> {
+        self.leading.as_ref()
+    }
+
     fn enter(&mut self, state: Option<State>) {
         self.ledger.effects.extend(state.map(Effect::Enter));
     }
@@ -287,8 +332,14 @@
 
     /// Tells the module of the ends that its last calls brought about, until there are none.
     fn settle(&mut self) {
-        while let Some((inv, nth, ending)) = self.ledger.ended.pop_front() {
-            self.tell(&inv, nth, Tenths(0), ending, None);
+        loop {
+            if let Some((inv, nth, ending)) = self.ledger.ended.pop_front() {
+                self.tell(&inv, nth, Tenths(0), ending, None);
+            } else if let Some((build, stage, verdict)) = self.ledger.wanted.pop_front() {
+                self.lead(|leading, now| leading.wants(now, build, stage, verdict));
+            } else {
+                break;
+            }
         }
         let state = self.lifecycle.settle(self.ledger.now, self.ledger.open, self.connected);
         self.enter(state);
@@ -336,9 +387,9 @@
     }
 
     /// What is learnt and what is under way stays as it is: only where news and votes go changes.
-    fn reread(&mut self, read: Result<Places, String>) {
-        let places = match read {
-            Ok(places) => places,
+    fn reread(&mut self, read: Result<Changes, String>) {
+        let Changes { places, keys } = match read {
+            Ok(changes) => changes,
             Err(why) => {
                 let again = self.rereading.failed(self.ledger.now);
                 let then = if again { "is read again shortly" } else { "is given up, the old one stays" };
@@ -346,6 +397,9 @@
             }
         };
         self.rereading.done();
+        if let Some(ring) = keys {
+            self.lead(|leading, now| leading.new_keys(now, &ring));
+        }
         let old = std::mem::replace(&mut self.places, places);
         self.ledger.log(&format!("the new configuration is in force: {places:?}, before {old:?}"));
         if old.discovery != places.discovery {
@@ -358,6 +412,8 @@
 
     fn tick(&mut self) {
         let now = self.ledger.now;
+        // First of all: what a mandate allowed is over with it.
+        self.lead(|leading, now| leading.tick(now));
         if self.rereading.due(now) {
             self.ledger.effects.push(Effect::Reread);
         }
@@ -425,6 +481,18 @@
     }
 
     fn standing(&mut self, answer: Result<Standing, Ending>, to_vote: bool) {
+        let answer = match (answer, &mut self.leading) {
+            (Ok(standing), Some(leading)) => {
+                let (allowed, came) = leading.standing(self.ledger.now, standing);
+                self.lead(|_, _| came);
+                Ok(allowed)
+            }
+            (answer, _) => answer,
+        };
+        self.hear(answer, to_vote);
+    }
+
+    fn hear(&mut self, answer: Result<Standing, Ending>, to_vote: bool) {
         let none = Standing { build: Build(0), stage: 0, phase: Phase::Trial, cap: 0.0, since: Tenths(0) };
         let (s, ending) = match answer {
             Ok(standing) => (standing, Ending::Succeeded),
--- a/crates/stagepond-sidecar/src/shell.rs
+++ b/crates/stagepond-sidecar/src/shell.rs
@@ -5,12 +5,15 @@
 use std::sync::Arc;
 
 use anyhow::{Context, Result};
+use stagepond_leadership::ids::Seat;
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::{mpsc, watch, Notify};
 
 use crate::discovery;
 use crate::front::{self, Front, Operations};
+use crate::keeping;
 use crate::launch::Launch;
+use crate::leading::{Leading, Note};
 use crate::lifecycle::State;
 use crate::messages::*;
 use crate::peers::Peers;
@@ -31,7 +34,7 @@
 /// A list passes three tasks from its socket to this loop: one turn of the runtime for each.
 const TURNS: usize = 3;
 
-pub async fn serve(launch: Launch, reread: impl Fn() -> Result<Places>, mut hangups: Signal) -> Result<()> {
+pub async fn serve(launch: Launch, reread: impl Fn() -> Result<Changes>, mut hangups: Signal) -> Result<()> {
     let clock = Clock::start();
     let mut leave = signal(SignalKind::terminate()).context("SIGTERM")?;
     let mut interrupt = signal(SignalKind::interrupt()).context("SIGINT")?;
@@ -62,14 +65,34 @@
     let vote_wait = duration(launch.facts.vote_wait);
     let (platform, place) = watch::channel(launch.places.platform);
     tokio::spawn(platform::listen(place.clone(), names.clone(), news.clone()));
-    tokio::spawn(platform::votes(place, wanted, news.clone()));
+    tokio::spawn(platform::votes(place, wanted, news.clone(), clock));
+    let (keep, kept) = mpsc::unbounded_channel();
+    let leading = match &launch.operators.leadership {
+        Some(asked) => {
+            let seat = Seat(me.0 as u16);
+            let promises =
+                asked.state.as_deref().map(|path| keeping::read(path, seat)).transpose()?.flatten();
+            if let Some(path) = &asked.state {
+                tokio::spawn(keeping::keep(path.clone(), kept, news.clone()));
+            }
+            Some(Leading::new(clock.now(), me, launch.seed, asked, promises))
+        }
+        None => None,
+    };
     let at = front.listen(launch.listen)?;
     let datagrams = peers.as_ref().and_then(Peers::address).map_or("none".into(), |at| at.to_string());
     tracing::info!(name = launch.name, clients = %at, %datagrams, clients_max, "listening");
     launch.missing.iter().for_each(|what| tracing::warn!("the settings have {what}: not there on sockets"));
 
-    let (mut reducer, mut effects) =
-        Reducer::new(clock.now(), launch.facts, launch.seed, launch.places, launch.known, launch.standing);
+    let (mut reducer, mut effects) = Reducer::new(
+        clock.now(),
+        launch.facts,
+        launch.seed,
+        launch.places,
+        launch.known,
+        launch.standing,
+        leading,
+    );
     let mut batch = Vec::new();
     loop {
         for effect in effects.drain(..) {
@@ -79,10 +102,12 @@
                 Effect::Answer(ticket, answer) => front.answer(ticket, answer),
                 Effect::DropIdle(to) => pods.drop_idle(to),
                 Effect::Tell { to, words } => drop(peers.as_ref().map(|peers| peers.tell(to, &words))),
-                Effect::Vote { build, stage, verdict } => {
+                Effect::Vote { build, stage, verdict, mandate } => {
                     let until = tokio::time::Instant::now() + vote_wait;
-                    let _ = votes.send(Vote { build, stage, verdict, until });
+                    let _ = votes.send(Vote { build, stage, verdict, until, mandate });
                 }
+                Effect::Keep { number, promises } => drop(keep.send((number, promises))),
+                Effect::Note(note) => noted(note),
                 Effect::WholeList => whole.notify_one(),
                 Effect::Reread => batch.push(Input::Reread(reread().map_err(|error| format!("{error:#}")))),
                 Effect::Discovery(at) => drop(discovery.send_replace(at)),
@@ -136,3 +161,31 @@
         }
     }
 }
+
+/// Decisions by name, so that a program can read them: `docs/leadership.md` lists them.
+fn noted(note: Note) {
+    match note {
+        Note::Leads { term, until } => {
+            tracing::info!(event = "leads", term = term.0, until = until.0, "leads")
+        }
+        Note::SteppedDown { term, why } => {
+            tracing::info!(event = "stepped_down", term = term.0, why, "leads no longer")
+        }
+        Note::InForce { term, number, holder, decree } => {
+            tracing::info!(
+                event = "in_force",
+                term = term.0,
+                number = number.0,
+                holder = holder.0,
+                decree,
+                "a decree"
+            );
+        }
+        Note::CaughtUp { number } => {
+            tracing::info!(event = "caught_up", number = number.0, "has all that is in force")
+        }
+        Note::Founded { term } => tracing::warn!(event = "founded", term = term.0, "an era begins"),
+        Note::Refused { decree, why } => tracing::debug!(event = "refused", decree, why, "not decided"),
+        Note::Member { seat, health } => tracing::info!(event = "member", seat = seat.0, ?health, "member"),
+    }
+}
--- a/crates/stagepond-sidecar/src/stories.rs
+++ b/crates/stagepond-sidecar/src/stories.rs
@@ -78,7 +78,8 @@
         let now = Tenths::ms(1_000_000);
         let standing =
             Standing { build: Build(1), stage: 3, phase: Phase::Released, cap: 1.0, since: Tenths(0) };
-        let (reducer, told) = Reducer::new(now, facts, 7, places(8500), list(true, rows), Some(standing));
+        let (reducer, told) =
+            Reducer::new(now, facts, 7, places(8500), list(true, rows), Some(standing), None);
         Story { reducer, now, tickets: 0, told }
     }
 
@@ -398,13 +399,13 @@
         assert!(!story.input(Input::Reread(Err("seed: missing".into()))).contains(&Effect::Reread));
         assert!(story.pass(Tenths::ms(250)).contains(&Effect::Reread));
     }
-    let moved = story.input(Input::Reread(Ok(places(9500))));
+    let moved = story.input(Input::Reread(Ok(Changes { places: places(9500), keys: None })));
     let places = places(9500);
     assert!(moved.contains(&Effect::Discovery(places.discovery)));
     assert!(moved.contains(&Effect::Platform(places.platform)));
     assert!(!story.pass(Tenths::ms(1000)).contains(&Effect::Reread));
     // The same once more is no move.
-    let same = story.input(Input::Reread(Ok(places)));
+    let same = story.input(Input::Reread(Ok(Changes { places, keys: None })));
     assert!(!same.iter().any(|e| matches!(e, Effect::Discovery(_) | Effect::Platform(_))));
 }
 
--- a/crates/stagepond/src/balance.rs
+++ b/crates/stagepond/src/balance.rs
@@ -71,6 +71,8 @@
             mine: Said { life: rng.u16(..), ..Said::default() },
             said: vec![Said::default(); facts.sidecars],
             rng,
+            voters: (0..VOTERS.min(facts.sidecars)).map(Peer).collect(),
+            turn: Some(facts.me.0).filter(|&rank| rank < VOTERS),
             facts,
             ..Balancer::default()
         }
@@ -197,6 +199,15 @@
         self.settle(host);
     }
 
+    /// Who hears the bits from now on, and whether this sidecar is the one that may act on their sum: where one
+    /// leads, the host knows.
+    pub fn leadership(&mut self, host: &mut dyn Host, voters: Vec<Peer>, acts: bool) {
+        // Who is new among them has heard nothing yet.
+        self.spoken_at = if self.voters == voters { self.spoken_at } else { Tenths(0) };
+        (self.voters, self.turn) = (voters, acts.then_some(0));
+        self.settle(host);
+    }
+
     pub fn objection(&mut self, host: &mut dyn Host, pod: PodId, _op: Op, since: Tenths) {
         self.look_up(host);
         // Silence about a pod's first answers is no evidence, so a word against them is none either.
@@ -301,8 +312,8 @@
         (self.spoken, self.spoken_at) = (self.mine, self.now);
         if self.facts.peers && self.mine.seen > 0 {
             let words = self.mine.encode(build);
-            for peer in (0..VOTERS.min(self.facts.sidecars)).filter(|&p| p != self.facts.me.0) {
-                host.tell(Some(Peer(peer)), &words);
+            for peer in self.voters.iter().filter(|p| **p != self.facts.me) {
+                host.tell(Some(*peer), &words);
             }
         }
         self.count_bits(self.facts.me, self.mine);
@@ -713,8 +724,7 @@
     }
 
     fn voting(&self) -> Option<(Tenths, Told)> {
-        let rank = Some(self.facts.me.0).filter(|&rank| rank < VOTERS)?;
-        Some((Tenths::ms(1500).part(rank as f64), self.news()?))
+        Some((Tenths::ms(1500).part(self.turn? as f64), self.news()?))
     }
 
     fn cast(&mut self, host: &mut dyn Host, told: Told, verdict: Verdict) -> bool {
--- a/crates/stagepond/src/state.rs
+++ b/crates/stagepond/src/state.rs
@@ -375,6 +375,9 @@
     pub(crate) sums: [f64; GROUNDS],
     pub(crate) mine: Said,
     pub(crate) said: Vec<Said>,
+    /// Who is told the bits; and when this sidecar may vote, counted from the first who may.
+    pub(crate) voters: Vec<Peer>,
+    pub(crate) turn: Option<usize>,
     pub(crate) totals: [f64; GROUNDS],
     pub(crate) gathered: [f64; GROUNDS],
     /// The lowest totals of this stage.
