--- a/crates/stagepond-leadership/src/council.rs
+++ b/crates/stagepond-leadership/src/council.rs
@@ -29,7 +29,7 @@
 const STUCK: i64 = 12;
 
 /// What must outlive the process, where there is a disk.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Promises {
     pub seat: Seat,
     pub memory: Memory,
@@ -59,19 +59,21 @@
     }
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Hash)]
 struct Progress {
     matched: Number,
     next: Number,
-    /// The latest beat it answered, and when that went out.
+    /// The latest append that went to it, and the latest that it answered.
+    sent: u64,
     answered: u64,
     heard_at: Tenths,
     well_since: Tenths,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Hash)]
 struct Leading {
     followers: BTreeMap<Voter, Progress>,
+    /// Of the latest append, whoever it went to; and the first of each beat, with its time.
     round: u64,
     rounds: VecDeque<(u64, Tenths)>,
     lease_until: Tenths,
@@ -82,7 +84,7 @@
     handing: Option<(Seat, Tenths, Tenths)>,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Hash)]
 enum Role {
     Following,
     /// Asks the others, first without raising the term.
@@ -100,7 +102,7 @@
     Leading(Box<Leading>),
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Hash)]
 struct Founding {
     era: Era,
     answers: BTreeMap<Seat, Promised>,
@@ -110,7 +112,7 @@
     again_at: Tenths,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Hash)]
 struct Fetching {
     from: Seat,
     until: Tenths,
@@ -152,6 +154,7 @@
     NoSuccessor,
 }
 
+#[derive(Clone)]
 pub struct Council {
     me: Voter,
     bounds: Bounds,
@@ -185,6 +188,16 @@
     out: Vec<(Seat, Message)>,
 }
 
+/// All that bears on what comes next, but for chance: for those who look for states that are alike.
+impl std::hash::Hash for Council {
+    fn hash<H: std::hash::Hasher>(&self, state: &mut H) {
+        (&self.promises, &self.role, &self.leader, &self.founding, &self.fetching).hash(state);
+        (self.hold_until, self.stand_at, self.leaderless_since, self.found_at, self.fetch_at).hash(state);
+        (self.word, self.era_seen, self.agreed, self.life, self.kept_last).hash(state);
+        (self.changes - self.kept, &self.held_back).hash(state);
+    }
+}
+
 impl Council {
     pub fn new(
         now: Tenths, life: Life, promises: Promises, bounds: &Bounds, seed: u64, planted: Planted,
@@ -495,8 +508,14 @@
 
     fn lead(&mut self, now: Tenths) {
         let next = self.promises.record.last().1.next();
-        let new =
-            |_: Voter| Progress { matched: Number(0), next, answered: 0, heard_at: now, well_since: now };
+        let new = |_: Voter| Progress {
+            matched: Number(0),
+            next,
+            sent: 0,
+            answered: 0,
+            heard_at: now,
+            well_since: now,
+        };
         let voters = self.voters();
         let followers = voters.all().filter(|v| *v != self.me).map(|v| (v, new(v))).collect();
         let founding = self.between_eras();
@@ -589,9 +608,8 @@
     fn beat(&mut self, now: Tenths) {
         let beat = self.bounds.beat();
         let Role::Leading(leading) = &mut self.role else { return };
-        leading.round += 1;
         leading.beat_at = now + beat;
-        leading.rounds.push_back((leading.round, now));
+        leading.rounds.push_back((leading.round + 1, now));
         if leading.rounds.len() > ROUNDS_MAX {
             leading.rounds.pop_front();
         }
@@ -604,8 +622,10 @@
     }
 
     fn append_to(&mut self, voter: Voter) {
-        let Role::Leading(leading) = &self.role else { return };
-        let Some(progress) = leading.followers.get(&voter) else { return };
+        let Role::Leading(leading) = &mut self.role else { return };
+        let Some(progress) = leading.followers.get_mut(&voter) else { return };
+        leading.round += 1;
+        progress.sent = leading.round;
         let record = &self.promises.record;
         // Below the base nothing is kept one by one: it hears how far this one is and fetches.
         let before = Number(progress.next.0.saturating_sub(1)).max(record.base());
@@ -690,6 +710,7 @@
         }
         progress.heard_at = now;
         progress.answered = progress.answered.max(round);
+        let latest = round == progress.sent;
         let own_last = self.promises.record.last().1;
         let behind = match matched {
             Some(number) => {
@@ -706,7 +727,9 @@
         };
         self.renew(now);
         self.enforce(now);
-        if behind || matched.is_none() {
+        // Only the answer to the latest brings about the next: else each beat would begin one more exchange that
+        // goes on beside the others for as long as commands come.
+        if latest && (behind || matched.is_none()) {
             self.append_to(voter);
         }
         self.hand_on(now);
@@ -800,7 +823,8 @@
         let Role::Leading(leading) = &mut self.role else { return };
         leading.followers.retain(|v, _| voters.has(v));
         for voter in voters.all().filter(|v| *v != me) {
-            let new = Progress { matched: Number(0), next, answered: 0, heard_at: now, well_since: now };
+            let new =
+                Progress { matched: Number(0), next, sent: 0, answered: 0, heard_at: now, well_since: now };
             leading.followers.entry(voter).or_insert(new);
         }
     }
@@ -808,9 +832,10 @@
     fn propose(&mut self, decree: Decree) -> Number {
         let number = self.promises.record.append(self.promises.term, self.me.seat, decree);
         self.touch();
+        let alone = self.promises.record.waiting() == 1;
         if let Role::Leading(leading) = &mut self.role {
-            // Out with the next settling, not with the next beat.
-            leading.beat_at = Tenths(0);
+            // Out at once, not with the next beat; behind others it goes with the answers to them.
+            leading.beat_at = if alone { Tenths(0) } else { leading.beat_at };
         }
         number
     }
--- a/crates/stagepond-leadership/src/instance.rs
+++ b/crates/stagepond-leadership/src/instance.rs
@@ -333,7 +333,7 @@
 
     fn gossip(&mut self, now: Tenths, from: Seat, gossip: Gossip) {
         for news in gossip.news {
-            self.members.news(now, from, news);
+            self.members.news(now, news);
         }
         self.council.hears_of(now, from, gossip.record);
     }
--- a/crates/stagepond-leadership/src/members.rs
+++ b/crates/stagepond-leadership/src/members.rs
@@ -12,8 +12,8 @@
 /// Members that are asked to probe in one's stead.
 const INDIRECT: usize = 3;
 /// Other suspecters that shorten a suspicion to its least, and how much longer it is without any.
-const CONFIRMING: usize = 3;
-const LONGEST: f64 = 4.0;
+const CONFIRMING: usize = 2;
+const LONGEST: f64 = 3.0;
 /// How many times a piece of news is passed on, for each doubling of the members.
 const PASSED_ON: f64 = 3.0;
 /// One's own slowness is held within this many steps.
@@ -75,7 +75,9 @@
 
 impl Members {
     pub fn new(now: Tenths, seat: Seat, life: Life, memory: Memory, bounds: &Bounds, seed: u64) -> Members {
-        let me = News { seat, life, incarnation: 0, health: Health::Alive, memory: Some(memory) };
+        // 0 stands for a memory that began with the life.
+        let memory = if memory.0 == life.0 { Memory(0) } else { memory };
+        let me = News { seat, life, incarnation: 0, health: Health::Alive, by: seat, memory: Some(memory) };
         let mut rng = fastrand::Rng::with_seed(seed ^ 0x5717);
         let first = now + Tenths((rng.f64() * bounds.probe_every.0 as f64) as i64);
         Members {
@@ -115,7 +117,8 @@
 
     /// The memory that a live process at that seat keeps its promises in.
     pub fn memory(&self, seat: Seat) -> Option<Memory> {
-        self.of(seat).filter(|n| matches!(n.health, Health::Alive | Health::Suspect))?.memory
+        let news = self.of(seat).filter(|n| matches!(n.health, Health::Alive | Health::Suspect))?;
+        news.memory.map(|m| if m == Memory(0) { Memory(news.life.0) } else { m })
     }
 
     /// Since when it has been dead or has left; `None` while it is neither.
@@ -139,6 +142,9 @@
 
     /// This process is older than one that others knew here: it goes on as a later one.
     pub fn reborn(&mut self, life: Life) {
+        if self.me.memory == Some(Memory(0)) {
+            self.me.memory = Some(Memory(self.me.life.0));
+        }
         self.me.life = life;
         self.pass_on(self.me.seat);
     }
@@ -152,18 +158,22 @@
         self.spread.insert(0, (0, seat));
     }
 
-    pub fn gossip(&mut self, record: (Term, Number)) -> Gossip {
+    /// What goes with a message to `to`: first of all that it is suspected, if it is, as nobody else has more to
+    /// say about that (Lifeguard's buddy system).
+    pub fn gossip(&mut self, to: Seat, record: (Term, Number)) -> Gossip {
         let most = (PASSED_ON * self.grown()) as u32;
-        let mut news = Vec::new();
+        let mut news: Vec<News> = self.of(to).filter(|n| n.health != Health::Alive).into_iter().collect();
         let mut spread = std::mem::take(&mut self.spread);
-        for (times, seat) in spread.iter_mut().take(NEWS_MAX) {
-            news.extend(self.of(*seat));
-            *times += 1;
+        let others = spread.iter().map(|(_, seat)| *seat).filter(|s| *s != to);
+        news.extend(others.take(NEWS_MAX - news.len()).filter_map(|seat| self.of(seat)));
+        let gossip = Gossip { news, record }.fitting(3);
+        for (times, seat) in &mut spread {
+            *times += u32::from(gossip.news.iter().any(|n| n.seat == *seat));
         }
         spread.retain(|(times, _)| *times < most);
         spread.sort_by_key(|(times, _)| *times);
         self.spread = spread;
-        Gossip { news, record }
+        gossip
     }
 
     fn nonce(&mut self) -> u32 {
@@ -224,7 +234,7 @@
                 for other in others {
                     if other != probe.seat && !asked.contains(&other) && asked.len() < INDIRECT {
                         asked.push(other);
-                        let gossip = self.gossip(record);
+                        let gossip = self.gossip(other, record);
                         out.push((
                             other,
                             Message::PingFor { nonce: probe.nonce, target: probe.seat, gossip },
@@ -271,7 +281,7 @@
                 continue;
             }
             let nonce = self.nonce();
-            let gossip = self.gossip(record);
+            let gossip = self.gossip(seat, record);
             out.push((seat, Message::Ping { nonce, gossip }));
             // Nobody is suspected who was never there, or is known to be gone.
             if health.is_some() && !gone {
@@ -284,11 +294,8 @@
     }
 
     pub fn ping(&mut self, from: Seat, nonce: u32, record: (Term, Number), out: &mut Vec<(Seat, Message)>) {
-        // Who is suspected must hear of it to be able to speak up.
-        if self.of(from).is_some_and(|n| n.health != Health::Alive) {
-            self.pass_on(from);
-        }
-        out.push((from, Message::Ack { nonce, gossip: self.gossip(record) }));
+        let gossip = self.gossip(from, record);
+        out.push((from, Message::Ack { nonce, gossip }));
     }
 
     pub fn ping_for(
@@ -301,7 +308,8 @@
         let nonce = self.nonce();
         let until = now + self.bounds.probe_every;
         self.relays.push_back(Relay { nonce, target, origin: from, theirs, until });
-        out.push((target, Message::Ping { nonce, gossip: self.gossip(record) }));
+        let gossip = self.gossip(target, record);
+        out.push((target, Message::Ping { nonce, gossip }));
     }
 
     pub fn ack(
@@ -317,7 +325,8 @@
         }
         if let Some(at) = self.relays.iter().position(|r| r.nonce == nonce && r.target == from) {
             let relay = self.relays.remove(at).expect("just found");
-            out.push((relay.origin, Message::Ack { nonce: relay.theirs, gossip: self.gossip(record) }));
+            let gossip = self.gossip(relay.origin, record);
+            out.push((relay.origin, Message::Ack { nonce: relay.theirs, gossip }));
         }
     }
 
@@ -325,25 +334,29 @@
     pub fn heard(&mut self, now: Tenths, seat: Seat, life: Life) {
         let newer = self.of(seat).is_none_or(|news| news.life < life);
         if newer {
-            self.learn(now, News { seat, life, incarnation: 0, health: Health::Alive, memory: None });
+            self.learn(
+                now,
+                News { seat, life, incarnation: 0, health: Health::Alive, by: seat, memory: None },
+            );
         }
     }
 
     fn suspect(&mut self, now: Tenths, seat: Seat, by: Seat) {
         let Some(news) = self.of(seat) else { return };
         if news.health == Health::Alive {
-            self.learn(now, News { health: Health::Suspect, ..news });
+            self.learn(now, News { health: Health::Suspect, by, ..news });
         }
         if let Some(known) = self.known[usize::from(seat.0)].as_mut() {
             if let Some(s) =
                 known.suspected.as_mut().filter(|s| !s.by.contains(&by) && s.by.len() <= CONFIRMING)
             {
                 s.by.push(by);
+                self.pass_on(seat);
             }
         }
     }
 
-    pub fn news(&mut self, now: Tenths, from: Seat, news: News) {
+    pub fn news(&mut self, now: Tenths, news: News) {
         if news.seat.0 >= self.bounds.seats {
             return;
         }
@@ -353,7 +366,7 @@
         if news.health == Health::Suspect && self.of(news.seat).is_some_and(|n| n.life == news.life) {
             let same = self.of(news.seat).is_some_and(|n| n.incarnation == news.incarnation);
             if same {
-                self.suspect(now, news.seat, from);
+                self.suspect(now, news.seat, news.by);
             }
         }
         self.learn(now, news);
@@ -397,8 +410,7 @@
             (old.life, old.health, old.memory) != (news.life, news.health, news.memory)
         });
         let since = old.filter(|_| !changed).map_or(now, |(_, since)| since);
-        let suspected =
-            (news.health == Health::Suspect).then(|| Suspicion { since: now, by: vec![self.me.seat] });
+        let suspected = (news.health == Health::Suspect).then(|| Suspicion { since: now, by: vec![news.by] });
         self.suspicions.retain(|s| *s != seat);
         if suspected.is_some() {
             self.suspicions.push(seat);
@@ -418,7 +430,7 @@
         for _ in 0..INDIRECT {
             if let Some(seat) = self.somebody() {
                 let nonce = self.nonce();
-                let gossip = self.gossip(record);
+                let gossip = self.gossip(seat, record);
                 out.push((seat, Message::Ping { nonce, gossip }));
             }
         }
--- a/crates/stagepond-leadership/src/wire.rs
+++ b/crates/stagepond-leadership/src/wire.rs
@@ -12,7 +12,7 @@
 pub const SEAL_BYTES: usize = 48;
 pub const BODY_MAX: usize = DATAGRAM_MAX - SEAL_BYTES;
 /// Of a body, what news of members may take in a message of probes.
-pub const NEWS_MAX: usize = 6;
+pub const NEWS_MAX: usize = 10;
 /// Of a whole state that is sent in pieces: bytes in each, and in all.
 pub const PIECE_BYTES: usize = 160;
 pub const STATE_MAX: usize = 8192;
@@ -33,7 +33,10 @@
     pub life: Life,
     pub incarnation: u32,
     pub health: Health,
-    /// `None`: known by its datagrams only, what it remembers is not.
+    /// Of one that is suspected: whose probe it did not answer. Others pass the word on and confirm nothing.
+    pub by: Seat,
+    /// `None`: known by its datagrams only, what it remembers is not. `Some(Memory(0))`: it began with the life,
+    /// as nearly all do where there is no disk; so it costs one byte.
     pub memory: Option<Memory>,
 }
 
@@ -45,6 +48,15 @@
     pub record: (Term, Number),
 }
 
+impl Gossip {
+    /// As much of it as a datagram carries beside this many bytes and the probe's own.
+    pub fn fitting(mut self, besides: usize) -> Gossip {
+        let size = |gossip: &Gossip| postcard::experimental_size(gossip) + besides + 12;
+        while size(&self) > BODY_MAX && self.news.pop().is_some() {}
+        self
+    }
+}
+
 /// How an instance of the pool stands, for a founding.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Promised {
@@ -254,9 +266,14 @@
             life: Life(1 << 45),
             incarnation: 900,
             health: Health::Dead,
+            by: Seat(60_000),
             memory: Some(memory),
         };
-        let gossip = Gossip { news: vec![news; NEWS_MAX], record: (term, number) };
+        let gossip = Gossip { news: vec![news; NEWS_MAX], record: (term, number) }.fitting(0);
+        assert!(gossip.news.len() >= 6);
+        let short = News { memory: Some(Memory(0)), seat: Seat(999), by: Seat(999), incarnation: 9, ..news };
+        let usual = Gossip { news: vec![short; NEWS_MAX], record: (Term(1 << 61), number) }.fitting(0);
+        assert_eq!(usual.news.len(), NEWS_MAX, "where nobody has a disk all that may go do");
         let ping = Message::PingFor { nonce: u32::MAX, target: Seat(60_000), gossip };
         let piece = Message::Piece { of: number, total: 50, piece: 49, bytes: vec![0; PIECE_BYTES] };
         for message in [append, charter, ping, piece] {
--- a/crates/stagepond-sidecar/src/launch.rs
+++ b/crates/stagepond-sidecar/src/launch.rs
@@ -106,7 +106,7 @@
 impl Launch {
     /// What of it may change while the program runs.
     pub fn changes(self) -> Changes {
-        Changes { places: self.places, keys: self.operators.leadership.map(|l| l.ring) }
+        Changes { places: self.places, leadership: self.operators.leadership }
     }
 }
 
--- a/crates/stagepond-sidecar/src/leading.rs
+++ b/crates/stagepond-sidecar/src/leading.rs
@@ -7,7 +7,7 @@
 use stagepond::host::*;
 use stagepond_leadership::council::Promises;
 use stagepond_leadership::ids::{Life, Number, Seat, Term};
-use stagepond_leadership::instance::{self, Effect as Out, Input as In, Instance, Start};
+use stagepond_leadership::instance::{Effect as Out, Input as In, Instance, Start};
 use stagepond_leadership::mandate::Mandate;
 use stagepond_leadership::planted::Planted;
 use stagepond_leadership::record::{Decree, Subject, Voice};
@@ -38,7 +38,8 @@
     /// share that they had.
     widened: BTreeMap<Build, u32>,
     frozen: BTreeMap<Build, f64>,
-    forbidden: BTreeSet<Build>,
+    /// What the operators' file wants frozen.
+    asked_frozen: BTreeSet<Build>,
     led: bool,
     voters: Vec<Peer>,
     /// The share last told to the module.
@@ -79,7 +80,7 @@
             said: None,
             widened: BTreeMap::new(),
             frozen: BTreeMap::new(),
-            forbidden: BTreeSet::new(),
+            asked_frozen: asked.frozen.iter().copied().collect(),
             led: false,
             voters: Vec::new(),
             told: None,
@@ -90,6 +91,11 @@
         self.instance.next_due()
     }
 
+    /// The build on trial and the share of it that the module was told last.
+    pub fn share(&self) -> Option<(Build, f64)> {
+        self.told
+    }
+
     pub fn instance(&self) -> &Instance {
         &self.instance
     }
@@ -111,7 +117,7 @@
     }
 
     /// Others may have the new key already, or still the old one: both are taken for as long as the file says.
-    pub fn new_keys(&mut self, now: Tenths, ring: &KeyRing) -> Came {
+    fn new_keys(&mut self, now: Tenths, ring: &KeyRing) -> Came {
         let mut came = Came::default();
         for (key, lasts) in &ring.also {
             let accept = In::AcceptKey { key: key.clone(), until: now + *lasts };
@@ -124,10 +130,48 @@
         Came { effects: came.effects, ..last }
     }
 
+    /// The operators' file was read again.
+    pub fn reread(&mut self, now: Tenths, asked: &Leadership) -> Came {
+        self.asked_frozen = asked.frozen.iter().copied().collect();
+        let mut came = self.new_keys(now, &asked.ring);
+        let more = self.ask_to_freeze(now);
+        came.effects.extend(more.effects);
+        Came { effects: came.effects, lead: more.lead.or(came.lead), again: came.again || more.again }
+    }
+
+    /// Who leads brings the decrees into line with its operators' file.
+    fn ask_to_freeze(&mut self, now: Tenths) -> Came {
+        let mut came = Came::default();
+        if !self.led {
+            return came;
+        }
+        let standing = &self.instance.council().record().in_force().subjects;
+        let frozen: BTreeSet<Build> = standing
+            .values()
+            .filter_map(|entry| match entry.decree {
+                Decree::Freeze { build, frozen: true } => Some(Build(build)),
+                _ => None,
+            })
+            .collect();
+        let changes: Vec<(Build, bool)> = self
+            .asked_frozen
+            .difference(&frozen)
+            .map(|build| (*build, true))
+            .chain(frozen.difference(&self.asked_frozen).map(|build| (*build, false)))
+            .collect();
+        for (Build(build), frozen) in changes {
+            let more = self.step(now, In::Command(Decree::Freeze { build, frozen }));
+            came.effects.extend(more.effects);
+            came.again |= more.again;
+            came.lead = more.lead.or(came.lead);
+        }
+        came
+    }
+
     /// The module wants to vote. It is decided for all first; who does not lead decides nothing.
     pub fn wants(&mut self, now: Tenths, build: Build, stage: u32, verdict: Option<Verdict>) -> Came {
         let voice = match verdict {
-            Some(Verdict::On) if self.frozen.contains_key(&build) || self.forbidden.contains(&build) => {
+            Some(Verdict::On) if self.frozen.contains_key(&build) => {
                 return Came::default();
             }
             Some(Verdict::On) => Voice::On,
@@ -204,6 +248,8 @@
                     let vote = self.vote(&entry.decree, mandate);
                     let (term, number, holder) = (entry.term, entry.number, entry.holder);
                     came.again |= self.bears(&entry.decree);
+                    // What was held back while it was frozen is asked for again.
+                    asks |= matches!(entry.decree, Decree::Freeze { frozen: false, .. });
                     let decree = format!("{:?}", entry.decree);
                     came.effects.push(Effect::Note(Note::InForce { term, number, holder, decree }));
                     came.effects.extend(vote);
@@ -234,9 +280,10 @@
             came.lead = Some((voters, led));
         }
         if asks {
-            let more = self.ask_to_widen(now);
-            came.effects.extend(more.effects);
-            came.again |= more.again;
+            for more in [self.ask_to_widen(now), self.ask_to_freeze(now)] {
+                came.effects.extend(more.effects);
+                came.again |= more.again;
+            }
         }
         came
     }
@@ -281,8 +328,4 @@
             self.bears(&entry.decree);
         }
     }
-
-    pub fn status(&self) -> instance::Status {
-        self.instance.status()
-    }
 }
--- /dev/null
+++ b/crates/stagepond-sidecar/src/leading_stories.rs
@@ -0,0 +1,180 @@
+//! Short stories of three reducers with leadership, their datagrams carried by hand: who may vote, whose share
+//! may grow, and what a cut changes. No sockets, no clock.
+
+use rstest::rstest;
+use stagepond::host::*;
+use stagepond_leadership::bounds::Bounds;
+use stagepond_leadership::seal::Key;
+
+use crate::leading::Leading;
+use crate::messages::*;
+use crate::operators::{KeyRing, Leadership};
+use crate::stories::{facts, list, row, Story, BEGIN};
+
+const SIDECARS: usize = 3;
+const STEP: Tenths = Tenths::ms(5);
+
+fn asked() -> Leadership {
+    let sealing = Key::new(1, &[7; 32]).unwrap();
+    Leadership {
+        bounds: Bounds::usual(SIDECARS as u16).checked().unwrap(),
+        ring: KeyRing { sealing, also: Vec::new() },
+        state: None,
+        widen_by_decree: true,
+        frozen: Vec::new(),
+    }
+}
+
+struct Trio {
+    stories: Vec<Story>,
+    /// Nothing goes to or comes from this one.
+    cut: Option<usize>,
+    now: Tenths,
+    /// Who asked for a vote to be cast, and when its mandate ends.
+    votes: Vec<(usize, Tenths, Verdict)>,
+}
+
+impl Trio {
+    fn begins() -> Trio {
+        let story = |me: usize| {
+            let facts = Facts { me: Peer(me), sidecars: SIDECARS, peers: true, ..facts() };
+            let leading = Leading::new(BEGIN + Tenths(me as i64), Peer(me), me as u64, &asked(), None);
+            Story::led(facts, vec![row(1, 1), row(2, 1)], Some(leading))
+        };
+        Trio { stories: (0..SIDECARS).map(story).collect(), cut: None, now: BEGIN, votes: Vec::new() }
+    }
+
+    fn effects(&mut self, of: usize, effects: Vec<Effect>) {
+        for effect in effects {
+            match effect {
+                Effect::Tell { to: Some(Peer(to)), words }
+                    if self.cut != Some(of) && self.cut != Some(to) =>
+                {
+                    self.input(to, Input::Mail { from: Peer(of), words });
+                }
+                Effect::Vote { verdict: Some(verdict), mandate, .. } => {
+                    let mandate = mandate.expect("where one leads nobody votes without leave");
+                    assert!(mandate.check(self.now).is_ok());
+                    self.votes.push((of, mandate.until(), verdict));
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn input(&mut self, of: usize, input: Input) {
+        self.stories[of].now = self.now;
+        let effects = self.stories[of].input(input);
+        self.effects(of, effects);
+    }
+
+    fn all(&mut self, input: &Input) {
+        (0..SIDECARS).for_each(|of| self.input(of, input.clone()));
+    }
+
+    fn pass(&mut self, time: Tenths) {
+        let until = self.now + time;
+        while self.now < until {
+            self.now = self.now + STEP;
+            self.all(&Input::Tick);
+        }
+    }
+
+    fn leaders(&self) -> Vec<usize> {
+        let leads = |of: &usize| {
+            let leading = self.stories[*of].reducer.leading().unwrap();
+            leading.instance().mandate(self.now).is_some()
+        };
+        (0..SIDECARS).filter(leads).collect()
+    }
+
+    /// A founded group with one leader, and build 2 on trial.
+    fn led() -> (Trio, usize) {
+        let mut trio = Trio::begins();
+        trio.pass(Tenths::ms(4000));
+        let leaders = trio.leaders();
+        assert_eq!(leaders.len(), 1, "{leaders:?}");
+        (trio, leaders[0])
+    }
+
+    fn trial(&mut self, stage: u32, cap: f64) {
+        let standing = Standing { build: Build(2), stage, phase: Phase::Trial, cap, since: Tenths(0) };
+        self.all(&Input::Listed(list(false, vec![row(3, 2)])));
+        self.all(&Input::Standing(standing));
+    }
+
+    fn share(&self, of: usize) -> f64 {
+        self.stories[of].reducer.leading().unwrap().share().unwrap().1
+    }
+}
+
+#[rstest]
+fn only_who_leads_votes_and_only_once() {
+    let (mut trio, leader) = Trio::led();
+    trio.trial(0, 0.1);
+    trio.pass(Tenths::ms(12_000));
+    assert!(!trio.votes.is_empty());
+    assert!(trio.votes.iter().all(|(of, ..)| *of == leader), "{:?}", trio.votes);
+}
+
+#[rstest]
+fn who_is_cut_off_stops_voting_with_its_lease_and_another_goes_on() {
+    let (mut trio, leader) = Trio::led();
+    trio.cut = Some(leader);
+    trio.trial(0, 0.1);
+    trio.pass(Tenths::ms(1600));
+    assert!(!trio.leaders().contains(&leader));
+    trio.votes.clear();
+    trio.pass(Tenths::ms(14_000));
+    let next = trio.leaders();
+    assert_eq!(next.len(), 1);
+    assert_ne!(next[0], leader);
+    assert!(!trio.votes.is_empty() && trio.votes.iter().all(|(of, ..)| *of == next[0]), "{:?}", trio.votes);
+}
+
+#[rstest]
+fn past_the_first_stage_a_share_grows_by_decree_only_and_shrinks_at_once() {
+    let (mut trio, leader) = Trio::led();
+    let follower = (leader + 1) % SIDECARS;
+    trio.trial(0, 0.1);
+    assert_eq!(trio.share(follower), 0.1, "the first stage is the platform's alone");
+    trio.cut = Some(follower);
+    trio.trial(1, 0.4);
+    trio.pass(Tenths::ms(500));
+    assert_eq!(trio.share(follower), 0.1, "it has not heard of the decree");
+    assert_eq!(trio.share(leader), 0.4);
+    trio.cut = None;
+    trio.pass(Tenths::ms(1500));
+    assert_eq!(trio.share(follower), 0.4);
+    trio.cut = Some(follower);
+    trio.trial(1, 0.05);
+    assert_eq!(trio.share(follower), 0.05, "a lower cap waits for nobody");
+}
+
+#[rstest]
+fn a_frozen_build_gets_no_more_and_no_vote_on() {
+    let (mut trio, leader) = Trio::led();
+    trio.trial(0, 0.1);
+    let frozen = Leadership { frozen: vec![Build(2)], ..asked() };
+    let places = Places { discovery: ([127, 0, 0, 1], 1).into(), platform: None };
+    let reread = |leadership| Input::Reread(Ok(Changes { places, leadership: Some(leadership) }));
+    trio.input(leader, reread(frozen));
+    trio.pass(Tenths::ms(1500));
+    trio.trial(1, 0.4);
+    trio.pass(Tenths::ms(12_000));
+    assert_eq!((0..SIDECARS).map(|of| trio.share(of)).collect::<Vec<_>>(), [0.1; 3]);
+    assert!(trio.votes.iter().all(|(.., verdict)| *verdict != Verdict::On), "{:?}", trio.votes);
+    trio.input(leader, reread(asked()));
+    trio.pass(Tenths::ms(12_000));
+    assert_eq!(trio.share(leader), 0.4);
+    assert!(trio.votes.iter().any(|(.., verdict)| *verdict == Verdict::On));
+}
+
+#[rstest]
+fn a_planned_end_hands_the_lead_on() {
+    let (mut trio, leader) = Trio::led();
+    trio.input(leader, Input::Leave);
+    trio.pass(Tenths::ms(700));
+    let next = trio.leaders();
+    assert!(next.len() == 1 && next[0] != leader, "{next:?}: sooner than any lease would end");
+}
--- a/crates/stagepond-sidecar/src/lib.rs
+++ b/crates/stagepond-sidecar/src/lib.rs
@@ -7,6 +7,8 @@
 pub mod keeping;
 pub mod launch;
 pub mod leading;
+#[cfg(test)]
+mod leading_stories;
 pub mod lifecycle;
 pub mod messages;
 pub mod operators;
--- a/crates/stagepond-sidecar/src/messages.rs
+++ b/crates/stagepond-sidecar/src/messages.rs
@@ -109,8 +109,8 @@
 #[derive(Clone, Debug)]
 pub struct Changes {
     pub places: Places,
-    /// The operators' keys, where leadership is on.
-    pub keys: Option<crate::operators::KeyRing>,
+    /// The operators' word on leadership, where it is on: keys and frozen builds count anew.
+    pub leadership: Option<crate::operators::Leadership>,
 }
 
 #[derive(Clone, Debug)]
--- a/crates/stagepond-sidecar/src/operators.rs
+++ b/crates/stagepond-sidecar/src/operators.rs
@@ -7,7 +7,7 @@
 
 use anyhow::{anyhow, bail, Context, Result};
 use serde::Deserialize;
-use stagepond::host::{Facts, Tenths};
+use stagepond::host::{Build, Facts, Tenths};
 use stagepond_leadership::bounds::Bounds;
 use stagepond_leadership::ids::Seat;
 use stagepond_leadership::seal::{Key, Keys};
@@ -40,6 +40,8 @@
     state: Option<PathBuf>,
     #[serde(default)]
     widen_by_decree: bool,
+    #[serde(default)]
+    frozen: Vec<u16>,
 }
 
 #[derive(Debug, Deserialize)]
@@ -81,6 +83,8 @@
     pub state: Option<PathBuf>,
     /// The share of a trial grows only by a decree.
     pub widen_by_decree: bool,
+    /// Builds whose trial must not grow; who leads decrees it.
+    pub frozen: Vec<Build>,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -154,7 +158,8 @@
     }
     let state = form.state.map(|file| folder.join(file));
     let ring = KeyRing { sealing, also };
-    Ok(Leadership { bounds, ring, state, widen_by_decree: form.widen_by_decree })
+    let frozen = form.frozen.into_iter().map(Build).collect();
+    Ok(Leadership { bounds, ring, state, widen_by_decree: form.widen_by_decree, frozen })
 }
 
 /// Reads the operators' file; paths in it are taken from its own folder.
--- a/crates/stagepond-sidecar/src/platform.rs
+++ b/crates/stagepond-sidecar/src/platform.rs
@@ -196,11 +196,9 @@
             "vote cast"
         );
     }
-    let carried = tokio::spawn(connection);
+    let _carried = AbortOnDrop(tokio::spawn(connection).abort_handle());
     // Past this point it may have been carried out: then "nothing known" is the only true answer.
-    let answer = sender.send_request(post).await.map_err(|_| Ending::TimedOut);
-    let _ends = AbortOnDrop(carried.abort_handle());
-    let answer = answer?;
+    let answer = sender.send_request(post).await.map_err(|_| Ending::TimedOut)?;
     let status = answer.status();
     let body = Limited::new(answer.into_body(), ANSWER_MAX).collect().await.map_err(|_| Ending::TimedOut)?;
     outcome(status, &body.to_bytes())
@@ -261,6 +259,48 @@
         assert_eq!(outcome(StatusCode::from_u16(status).unwrap(), &body.into()), Err(ending));
     }
 
+    /// Leave to vote, from an instance that leads alone.
+    fn mandate(now: Tenths) -> Mandate {
+        use stagepond_leadership::ids::{Life, Seat};
+        use stagepond_leadership::instance::{Input, Instance, Start};
+        use stagepond_leadership::{bounds::Bounds, planted::Planted, seal::*};
+        let (bounds, keys) = (Bounds::usual(1), Keys::new(Key::new(1, &[7; 32]).unwrap()));
+        let (seat, life, planted) = (Seat(0), Life(1), Planted::default());
+        let mut instance =
+            Instance::new(Start { now, seat, life, seed: 1, bounds, keys, promises: None, planted });
+        (0..100)
+            .map(|n| now + Tenths::ms(100 * n))
+            .find_map(|now| {
+                instance.step(now, Input::Tick);
+                instance.mandate(now)
+            })
+            .expect("nobody else could lead")
+    }
+
+    /// A vote whose leader was paused between decree and write, as long as it takes the mandate to run out.
+    #[rstest]
+    #[case::in_time(true)]
+    #[case::paused(false)]
+    #[tokio::test]
+    async fn no_byte_of_a_vote_goes_out_after_its_mandate(#[case] in_time: bool) {
+        use tokio::io::AsyncReadExt;
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let clock = Clock::start();
+        let begun = if in_time { clock.now() } else { clock.now() - Tenths::ms(60_000) };
+        let (build, stage, verdict, until) = (Build(2), 0, Some(Verdict::On), Instant::now());
+        let vote = Vote { build, stage, verdict, until, mandate: Some(mandate(begun)) };
+        let cast = tokio::spawn(async move { put(address, &vote, clock).await });
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let mut read = [0; 1];
+        let bytes = stream.read(&mut read).await.unwrap();
+        drop(stream);
+        assert_eq!(
+            (bytes > 0, cast.await.unwrap()),
+            (in_time, Err(if in_time { Ending::TimedOut } else { Ending::NoConnection }))
+        );
+    }
+
     #[rstest]
     #[case::unknown_phase("ROLLOUT", "build=2&stage=0&phase=Dancing&cap=0.1&age_ms=1")]
     #[case::cap_above_all("ROLLOUT", "build=2&stage=0&phase=Progressing&cap=1.5&age_ms=1")]
--- a/crates/stagepond-sidecar/src/reducer.rs
+++ b/crates/stagepond-sidecar/src/reducer.rs
@@ -388,7 +388,7 @@
 
     /// What is learnt and what is under way stays as it is: only where news and votes go changes.
     fn reread(&mut self, read: Result<Changes, String>) {
-        let Changes { places, keys } = match read {
+        let Changes { places, leadership } = match read {
             Ok(changes) => changes,
             Err(why) => {
                 let again = self.rereading.failed(self.ledger.now);
@@ -397,8 +397,8 @@
             }
         };
         self.rereading.done();
-        if let Some(ring) = keys {
-            self.lead(|leading, now| leading.new_keys(now, &ring));
+        if let Some(asked) = leadership {
+            self.lead(|leading, now| leading.reread(now, &asked));
         }
         let old = std::mem::replace(&mut self.places, places);
         self.ledger.log(&format!("the new configuration is in force: {places:?}, before {old:?}"));
--- a/crates/stagepond-sidecar/src/shell.rs
+++ b/crates/stagepond-sidecar/src/shell.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use anyhow::{Context, Result};
-use stagepond_leadership::ids::Seat;
+use stagepond_leadership::ids::{Seat, Tenths};
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::{mpsc, watch, Notify};
 
@@ -107,7 +107,7 @@
                     let _ = votes.send(Vote { build, stage, verdict, until, mandate });
                 }
                 Effect::Keep { number, promises } => drop(keep.send((number, promises))),
-                Effect::Note(note) => noted(note),
+                Effect::Note(note) => noted(note, clock.now()),
                 Effect::WholeList => whole.notify_one(),
                 Effect::Reread => batch.push(Input::Reread(reread().map_err(|error| format!("{error:#}")))),
                 Effect::Discovery(at) => drop(discovery.send_replace(at)),
@@ -163,13 +163,14 @@
 }
 
 /// Decisions by name, so that a program can read them: `docs/leadership.md` lists them.
-fn noted(note: Note) {
+fn noted(note: Note, now: Tenths) {
+    let at = now.0;
     match note {
         Note::Leads { term, until } => {
-            tracing::info!(event = "leads", term = term.0, until = until.0, "leads")
+            tracing::info!(event = "leads", at, term = term.0, until = until.0, "leads")
         }
         Note::SteppedDown { term, why } => {
-            tracing::info!(event = "stepped_down", term = term.0, why, "leads no longer")
+            tracing::info!(event = "stepped_down", at, term = term.0, why, "leads no longer")
         }
         Note::InForce { term, number, holder, decree } => {
             tracing::info!(
--- a/crates/stagepond-sidecar/src/stories.rs
+++ b/crates/stagepond-sidecar/src/stories.rs
@@ -8,15 +8,17 @@
 use rstest::rstest;
 use stagepond::host::*;
 
+use crate::leading::Leading;
 use crate::lifecycle::State;
 use crate::messages::*;
 use crate::reducer::Reducer;
 
 const IDEMPOTENT: Op = Op(0);
 const SIDE_EFFECTING: Op = Op(1);
+pub(crate) const BEGIN: Tenths = Tenths::ms(1_000_000);
 const LIMIT: Tenths = Tenths::ms(2000);
 
-fn facts() -> Facts {
+pub(crate) fn facts() -> Facts {
     let operation = |repeat| Operation {
         repeat,
         group: Group::All,
@@ -43,7 +45,7 @@
     }
 }
 
-fn row(number: u16, build: u16) -> Row {
+pub(crate) fn row(number: u16, build: u16) -> Row {
     Row {
         name: PodName(format!("pod-{number}").into()),
         address: ([127, 0, 0, 1], 1000 + number).into(),
@@ -61,13 +63,13 @@
     Places { discovery: ([127, 0, 0, 1], port).into(), platform: Some(([127, 0, 0, 1], port + 1).into()) }
 }
 
-fn list(whole: bool, rows: Vec<Row>) -> List {
+pub(crate) fn list(whole: bool, rows: Vec<Row>) -> List {
     List { index: 1, whole, rows }
 }
 
-struct Story {
-    reducer: Reducer,
-    now: Tenths,
+pub(crate) struct Story {
+    pub(crate) reducer: Reducer,
+    pub(crate) now: Tenths,
     tickets: u64,
     /// All effects so far.
     told: Vec<Effect>,
@@ -75,11 +77,15 @@
 
 impl Story {
     fn begins(facts: Facts, rows: Vec<Row>) -> Story {
-        let now = Tenths::ms(1_000_000);
+        Story::led(facts, rows, None)
+    }
+
+    pub(crate) fn led(facts: Facts, rows: Vec<Row>, leading: Option<Leading>) -> Story {
+        let now = BEGIN;
         let standing =
             Standing { build: Build(1), stage: 3, phase: Phase::Released, cap: 1.0, since: Tenths(0) };
         let (reducer, told) =
-            Reducer::new(now, facts, 7, places(8500), list(true, rows), Some(standing), None);
+            Reducer::new(now, facts, 7, places(8500), list(true, rows), Some(standing), leading);
         Story { reducer, now, tickets: 0, told }
     }
 
@@ -87,7 +93,7 @@
         Story::begins(facts(), (1..=pods).map(|n| row(n, 1)).collect())
     }
 
-    fn input(&mut self, input: Input) -> Vec<Effect> {
+    pub(crate) fn input(&mut self, input: Input) -> Vec<Effect> {
         let effects = self.reducer.apply(self.now, input);
         self.told.extend(effects.clone());
         effects
@@ -399,13 +405,13 @@
         assert!(!story.input(Input::Reread(Err("seed: missing".into()))).contains(&Effect::Reread));
         assert!(story.pass(Tenths::ms(250)).contains(&Effect::Reread));
     }
-    let moved = story.input(Input::Reread(Ok(Changes { places: places(9500), keys: None })));
+    let moved = story.input(Input::Reread(Ok(Changes { places: places(9500), leadership: None })));
     let places = places(9500);
     assert!(moved.contains(&Effect::Discovery(places.discovery)));
     assert!(moved.contains(&Effect::Platform(places.platform)));
     assert!(!story.pass(Tenths::ms(1000)).contains(&Effect::Reread));
     // The same once more is no move.
-    let same = story.input(Input::Reread(Ok(Changes { places, keys: None })));
+    let same = story.input(Input::Reread(Ok(Changes { places, leadership: None })));
     assert!(!same.iter().any(|e| matches!(e, Effect::Discovery(_) | Effect::Platform(_))));
 }
 
--- a/crates/stagepond/src/host.rs
+++ b/crates/stagepond/src/host.rs
@@ -5,7 +5,7 @@
 pub use smol_str::SmolStr;
 
 /// Tenths of a millisecond, as a moment of the host's clock or as a span of it.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct Tenths(pub i64);
 
 impl Tenths {
--- a/examples/world.rs
+++ b/examples/world.rs
@@ -8,9 +8,11 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 use tokio::sync::watch;
 
-use crate::standins::{Came, Event, Server};
+use super::standins::{Came, Event, Server};
 
 const LIFE: Duration = Duration::from_secs(1);
 
@@ -180,3 +182,30 @@
         (standing.build, standing.phase)
     }
 }
+
+/// One invocation on a connection that stays: status and body.
+pub async fn invoke(stream: &mut TcpStream, id: &str) -> std::io::Result<(u16, String)> {
+    let head = format!(
+        "GET /lookup HTTP/1.1\r\nHost: here\r\nX-Request-ID: {id}\r\nX-Priority-Class: lookup\r\n\
+         X-Timeout-Ms: 2000\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes()).await?;
+    let mut read = Vec::new();
+    loop {
+        if let Some(end) = read.windows(4).position(|four| four == b"\r\n\r\n") {
+            let head = String::from_utf8_lossy(&read[..end]).to_ascii_lowercase();
+            let status = head.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0);
+            let length = head.lines().find_map(|line| line.strip_prefix("content-length: "));
+            let length: usize = length.and_then(|l| l.parse().ok()).unwrap_or(0);
+            while read.len() < end + 4 + length {
+                if stream.read_buf(&mut read).await? == 0 {
+                    return Err(std::io::ErrorKind::UnexpectedEof.into());
+                }
+            }
+            return Ok((status, String::from_utf8_lossy(&read[end + 4..]).into_owned()));
+        }
+        if stream.read_buf(&mut read).await? == 0 {
+            return Err(std::io::ErrorKind::UnexpectedEof.into());
+        }
+    }
+}
