--- a/crates/stagepond-lab/src/lib.rs
+++ b/crates/stagepond-lab/src/lib.rs
@@ -6,3 +6,4 @@
 pub mod leadership;
 pub mod net;
 pub mod trace;
+pub mod tuf;
--- a/crates/stagepond-lab/src/main.rs
+++ b/crates/stagepond-lab/src/main.rs
@@ -37,6 +37,18 @@
         #[arg(long)]
         program: Option<PathBuf>,
     },
+    /// Prove TUF: every attack refused for its reason, every good pack passed, planted faults found
+    ProveTuf {
+        /// Moves every seed that is used
+        #[arg(long, default_value_t = 1, env = "SEED")]
+        seed: u64,
+        /// How many repositories
+        #[arg(long, default_value_t = 40)]
+        runs: u64,
+        /// Pairs of attacks on each
+        #[arg(long, default_value_t = 60)]
+        pairs: usize,
+    },
     /// Measure time without a leader, detection and its cost, decrees a second; prints tables
     MeasureLeadership {
         #[arg(long, default_value_t = 200)]
@@ -146,6 +158,64 @@
     }
 }
 
+fn prove_tuf(seed: u64, runs: u64, pairs: usize) -> ExitCode {
+    use stagepond_lab::tuf::proof;
+    use stagepond_tuf::planted::Fault;
+    let begun = Instant::now();
+    let mut all = proof::Sum::default();
+    for nth in 0..runs {
+        let sum = proof::run(seed.wrapping_mul(1000) + nth, pairs);
+        all.attacks += sum.attacks;
+        all.refused += sum.refused;
+        all.pairs += sum.pairs;
+        all.pairs_refused += sum.pairs_refused;
+        all.good += sum.good;
+        all.good_passed += sum.good_passed;
+        all.control_passed += sum.control_passed;
+        all.other_reason.extend(sum.other_reason);
+        all.passed.extend(sum.passed);
+    }
+    all.passed.iter().take(10).for_each(|passed| println!("PASSED: {passed}"));
+    all.other_reason.iter().take(10).for_each(|other| println!("for another reason: {other}"));
+    let mut found = 0;
+    for fault in Fault::ALL {
+        match proof::find(fault, seed) {
+            Some(attack) => {
+                found += 1;
+                println!("planted {fault:?}: shown by {attack:?}");
+            }
+            None => println!("planted {fault:?}: NOT FOUND"),
+        }
+    }
+    println!(
+        "tuf: attacks={} refused={} other_reason={} pairs={} pairs_refused={} good={} good_passed={} planted={found}/{} \
+         control_passed={} kinds={} seconds={:.1}",
+        all.attacks,
+        all.refused,
+        all.other_reason.len(),
+        all.pairs,
+        all.pairs_refused,
+        all.good,
+        all.good_passed,
+        Fault::ALL.len(),
+        all.control_passed,
+        stagepond_lab::tuf::attacks::Attack::ALL.len(),
+        begun.elapsed().as_secs_f64(),
+    );
+    let well = all.refused == all.attacks
+        && all.other_reason.is_empty()
+        && all.pairs_refused == all.pairs
+        && all.good_passed == all.good
+        && found == Fault::ALL.len()
+        && all.control_passed > 0
+        && all.attacks > 0;
+    if well {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    }
+}
+
 fn ms(t: Tenths) -> String {
     if t == Tenths::NEVER {
         return "never".into();
@@ -222,6 +292,7 @@
         Command::ProveLeadership { seed, runs, threads, program } => {
             prove_leadership(seed, runs, threads, program)
         }
+        Command::ProveTuf { seed, runs, pairs } => prove_tuf(seed, runs, pairs),
         Command::MeasureLeadership { runs, large } => measure_leadership(runs, large),
         Command::ReplayLeadership { seed, planted, quiet } => replay_leadership(seed, planted, quiet),
     }
--- /dev/null
+++ b/crates/stagepond-lab/src/tuf/mod.rs
@@ -0,0 +1,4 @@
+//! TUF's stand-in repository, its attacks and its proof.
+
+pub mod attacks;
+pub mod proof;
--- a/crates/stagepond-leadership/src/members.rs
+++ b/crates/stagepond-leadership/src/members.rs
@@ -42,6 +42,8 @@
     indirect_at: Tenths,
     until: Tenths,
     asked: bool,
+    /// When it is asked straight once more: a lost datagram or two must not make a suspect.
+    again_at: Tenths,
 }
 
 struct Relay {
@@ -196,8 +198,13 @@
     }
 
     pub fn next_due(&self) -> Tenths {
-        let probe =
-            self.probe.as_ref().map_or(Tenths::NEVER, |p| if p.asked { p.until } else { p.indirect_at });
+        let probe = self.probe.as_ref().map_or(Tenths::NEVER, |p| {
+            if p.asked {
+                p.again_at.min(p.until)
+            } else {
+                p.indirect_at
+            }
+        });
         let mut due = self.next_probe.min(probe);
         for seat in &self.suspicions {
             due = due.min(self.suspicion_ends(*seat));
@@ -224,11 +231,17 @@
         }
     }
 
+    fn ping_again(&mut self, probe: &Probe, record: (Term, Number), out: &mut Vec<(Seat, Message)>) {
+        let gossip = self.gossip(probe.seat, record);
+        out.push((probe.seat, Message::Ping { nonce: probe.nonce, gossip }));
+    }
+
     pub fn tick(&mut self, now: Tenths, record: (Term, Number), out: &mut Vec<(Seat, Message)>) {
         self.relays.retain(|r| r.until > now);
         if let Some(mut probe) = self.probe.take() {
             if !probe.asked && now >= probe.indirect_at {
                 probe.asked = true;
+                self.ping_again(&probe, record, out);
                 let others: Vec<Seat> = (0..INDIRECT * 2).filter_map(|_| self.somebody()).collect();
                 let mut asked = Vec::new();
                 for other in others {
@@ -242,6 +255,10 @@
                     }
                 }
             }
+            if now >= probe.again_at {
+                probe.again_at = Tenths::NEVER;
+                self.ping_again(&probe, record, out);
+            }
             if now >= probe.until {
                 self.slow = (self.slow + 1).min(SLOW_MAX);
                 self.suspect(now, probe.seat, self.me.seat);
@@ -287,7 +304,8 @@
             if health.is_some() && !gone {
                 let indirect_at = now + self.patience(self.bounds.round_trip);
                 let until = now + self.patience(self.bounds.probe_every).max(self.bounds.round_trip);
-                self.probe = Some(Probe { seat, nonce, indirect_at, until, asked: false });
+                let again_at = Tenths((indirect_at.0 + until.0) / 2);
+                self.probe = Some(Probe { seat, nonce, indirect_at, until, asked: false, again_at });
             }
             return;
         }
