--- a/crates/stagepond-lab/src/tuf/proof.rs
+++ b/crates/stagepond-lab/src/tuf/proof.rs
@@ -37,7 +37,7 @@
 pub fn pull(client: &mut Client, files: &Files, now: Second, path: &str) -> Pulled {
     let want = client.refresh(now);
     carry(client, files, Ok(Came::More(want))).map_err(|r| r.kind())?;
-    let found = client.find(now, path);
+    let found = client.find(now, 0, path);
     let found = carry(client, files, found).map_err(|r| r.kind())?;
     let Came::Found { target, .. } = found else { return Err("not_found") };
     let at = consistent(path, &target);
--- a/crates/stagepond-sidecar/src/cli.rs
+++ b/crates/stagepond-sidecar/src/cli.rs
@@ -34,7 +34,7 @@
     let text = std::fs::read_to_string(&path).with_context(|| path.display().to_string())?;
     let mut launch = launch::read(&text, env, reading)?;
     if let Some(path) = operators.clone().or_else(|| env("STAGEPOND_OPERATORS").map(PathBuf::from)) {
-        launch.operators = operators::read(&path, &launch.facts)?;
+        launch.operators = operators::read(&path, &launch.facts, &launch.names)?;
     }
     Ok(launch)
 }
--- a/crates/stagepond-sidecar/src/front.rs
+++ b/crates/stagepond-sidecar/src/front.rs
@@ -58,6 +58,7 @@
 const TIME_LIMIT: &str = "x-timeout-ms";
 const FINGERPRINT: &str = "idempotency-key";
 const LOAD: &str = "x-server-load";
+const CHECK_FAILED: &str = "x-check-failed";
 
 /// What belongs to one connection only, on either side.
 const HOP: [HeaderName; 7] = [
@@ -509,6 +510,16 @@
     response
 }
 
+fn throttled(stay_away: Tenths) -> Response {
+    let mut response = StatusCode::SERVICE_UNAVAILABLE.into_response();
+    if stay_away.0 > 0 {
+        let seconds = format!("{}.{:04}", stay_away.0 / 10_000, stay_away.0 % 10_000);
+        let seconds = seconds.trim_end_matches('0').trim_end_matches('.').parse();
+        response.headers_mut().insert(header::RETRY_AFTER, seconds.expect("digits"));
+    }
+    response
+}
+
 fn worded(answer: Result<FinalAnswer, oneshot::error::RecvError>) -> Response {
     match answer {
         Ok(FinalAnswer::Succeeded(reply)) => {
@@ -518,16 +529,18 @@
             response.headers_mut().remove(LOAD);
             response
         }
-        Ok(FinalAnswer::Throttled { stay_away }) => {
-            let mut response = StatusCode::SERVICE_UNAVAILABLE.into_response();
-            if stay_away.0 > 0 {
-                let seconds = format!("{}.{:04}", stay_away.0 / 10_000, stay_away.0 % 10_000);
-                let seconds = seconds.trim_end_matches('0').trim_end_matches('.').parse();
-                response.headers_mut().insert(header::RETRY_AFTER, seconds.expect("digits"));
-            }
+        Ok(FinalAnswer::Throttled { stay_away }) => throttled(stay_away),
+        Ok(FinalAnswer::IdTaken) => StatusCode::CONFLICT.into_response(),
+        Ok(FinalAnswer::Unverified { failed, stay_away }) => {
+            let words = format!("no pod gave what was signed: {failed}\n");
+            let mut response = match stay_away {
+                Some(stay_away) => throttled(stay_away),
+                None => StatusCode::BAD_GATEWAY.into_response(),
+            };
+            response.headers_mut().insert(CHECK_FAILED, HeaderValue::from_static(failed));
+            *response.body_mut() = Body::from(words);
             response
         }
-        Ok(FinalAnswer::IdTaken) => StatusCode::CONFLICT.into_response(),
         // A dropped sender means the program ends without this answer; it can't be called harmless.
         Ok(FinalAnswer::Terminated) | Err(_) => StatusCode::BAD_GATEWAY.into_response(),
     }
--- a/crates/stagepond-sidecar/src/lib.rs
+++ b/crates/stagepond-sidecar/src/lib.rs
@@ -20,4 +20,7 @@
 #[cfg(test)]
 mod stories;
 pub mod stream;
+pub mod verifying;
+#[cfg(test)]
+mod verifying_stories;
 pub mod wire;
--- a/crates/stagepond-sidecar/src/messages.rs
+++ b/crates/stagepond-sidecar/src/messages.rs
@@ -57,6 +57,12 @@
     Terminated,
     /// Another invocation with the same id is still known.
     IdTaken,
+    /// Pods answered, and no answer was what was signed: the check that failed.
+    Unverified {
+        failed: &'static str,
+        /// Asking again is harmless, and when to.
+        stay_away: Option<Tenths>,
+    },
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -96,6 +102,8 @@
     pub at: Tenths,
     pub in_flight: Option<f64>,
     pub reply: Reply,
+    /// The pod said that there is no such thing.
+    pub absent: bool,
 }
 
 /// Where discovery and the platform are: what a new configuration may change while the program runs.
@@ -178,6 +186,9 @@
         promises: Vec<u8>,
     },
     Note(crate::leading::Note),
+    Told(crate::verifying::Told),
+    /// What is trusted of the metadata, to be written whole.
+    KeepTrusted(stagepond_tuf::client::Kept),
     /// Ask discovery for the whole list once more.
     WholeList,
     /// Read the configuration file again and tell what it says.
--- a/crates/stagepond-sidecar/src/pods.rs
+++ b/crates/stagepond-sidecar/src/pods.rs
@@ -136,6 +136,7 @@
                 at: self.clock.now(),
                 in_flight: None,
                 reply: Reply::default(),
+                absent: false,
             };
             let _ = self.inputs.send(Input::Ended(id, outcome));
             return;
@@ -224,7 +225,7 @@
 ) -> (Outcome, bool) {
     lane.trace.begins(call.body.len());
     let mut reply = Reply::default();
-    let (mut ending, mut in_flight, mut clean) = (Ending::Reset, None, false);
+    let (mut ending, mut in_flight, mut clean, mut absent) = (Ending::Reset, None, false, false);
     match lane.client.request(message(call, to, wait)).await {
         // Only what the connection itself showed proves that it never ran.
         Err(_) if !lane.trace.whole() => ending = Ending::NoConnection,
@@ -242,6 +243,7 @@
                 body.size_hint().exact().is_some() || head.headers.contains_key(TRANSFER_ENCODING);
             if let (true, Ok(body)) = (delimited, Limited::new(body, BODY_MAX).collect().await) {
                 ending = told(head.status, &head.headers);
+                absent = head.status == StatusCode::NOT_FOUND;
                 reply = Reply { headers: head.headers, body: body.to_bytes() };
                 clean = head.status != StatusCode::SWITCHING_PROTOCOLS;
             }
@@ -250,7 +252,7 @@
     // What the pod said came with its bytes; the end of a connection has no bytes of its own.
     let said = matches!(ending, Ending::Succeeded | Ending::Error | Ending::Full);
     let at = if said { lane.trace.came_at() } else { clock.now() };
-    (Outcome { ending, at, in_flight, reply }, clean)
+    (Outcome { ending, at, in_flight, reply, absent }, clean)
 }
 
 fn told(status: StatusCode, headers: &HeaderMap) -> Ending {
--- a/crates/stagepond-sidecar/src/reducer.rs
+++ b/crates/stagepond-sidecar/src/reducer.rs
@@ -16,6 +16,7 @@
 use crate::leading::{is_for_leadership, Came, Leading};
 use crate::lifecycle::{Lifecycle, Rereading, State};
 use crate::messages::*;
+use crate::verifying::{Check, Verifying, FETCH_WITHIN};
 
 struct Held {
     ticket: Ticket,
@@ -25,6 +26,9 @@
     sent: usize,
     out: Vec<(usize, DispatchId)>,
     answered: bool,
+    /// The signed target that it asks for, and the check that the last answer to it failed.
+    target: Option<String>,
+    failed: Option<&'static str>,
 }
 
 struct Dispatch {
@@ -70,12 +74,28 @@
     effects: Vec<Effect>,
 }
 
+/// Tickets from here on are the reducer's own: no front counts so far.
+const OWN_TICKETS: Ticket = Ticket(1 << 62);
+/// Files that may follow each other without an input between: none but those whose fetch was given up at once.
+const FETCHES_AT_ONCE: usize = 4;
+
+/// Parts that the operators' file switches on.
+#[derive(Default)]
+pub struct Switched {
+    pub leading: Option<Leading>,
+    pub verifying: Option<Verifying>,
+}
+
 pub struct Reducer {
     balancer: Balancer,
     ledger: Ledger,
     lifecycle: Lifecycle,
     rereading: Rereading,
     leading: Option<Leading>,
+    verifying: Option<Verifying>,
+    /// Answers whose check waits for metadata; each dispatch still ends by its own time.
+    unchecked: Vec<(DispatchId, Outcome)>,
+    fetches: u64,
     places: Places,
     connected: bool,
 }
@@ -173,6 +193,15 @@
         if let Some(held) = self.invs.get_mut(inv).filter(|held| !held.answered) {
             held.answered = true;
             self.open -= 1;
+            let answer = match (answer, held.failed) {
+                (FinalAnswer::Terminated, Some(failed)) => {
+                    FinalAnswer::Unverified { failed, stay_away: None }
+                }
+                (FinalAnswer::Throttled { stay_away }, Some(failed)) => {
+                    FinalAnswer::Unverified { failed, stay_away: Some(stay_away) }
+                }
+                (answer, _) => answer,
+            };
             self.effects.push(Effect::Answer(held.ticket, answer));
         }
         self.forget_if_over(inv);
@@ -206,8 +235,9 @@
     /// Starts the module on what the configuration holds, in the order in which the simulator tells it.
     pub fn new(
         now: Tenths, facts: Facts, seed: u64, places: Places, known: List, standing: Option<Standing>,
-        leading: Option<Leading>,
+        switched: Switched,
     ) -> (Reducer, Vec<Effect>) {
+        let Switched { leading, verifying } = switched;
         let ledger = Ledger {
             now,
             dispatches_max: facts.dispatches_max,
@@ -233,6 +263,9 @@
             lifecycle: Lifecycle::new(now),
             rereading: Rereading::default(),
             leading,
+            verifying,
+            unchecked: Vec::new(),
+            fetches: 0,
             places,
             connected: false,
         };
@@ -248,13 +281,16 @@
         }
         reducer.settle();
         let effects = std::mem::take(&mut reducer.ledger.effects);
+        // What is owed to the reducer itself is taken with the first input.
         (reducer, effects)
     }
 
     /// When `Input::Tick` is to come at the latest.
     pub fn next_due(&self) -> Tenths {
         let leading = self.leading.as_ref().map_or(Tenths::NEVER, Leading::next_due);
-        self.ledger.next_due().min(self.lifecycle.next()).min(self.rereading.next()).min(leading)
+        let verifying = self.verifying.as_ref().map_or(Tenths::NEVER, Verifying::next_due);
+        let own = self.lifecycle.next().min(self.rereading.next());
+        self.ledger.next_due().min(own).min(leading).min(verifying)
     }
 
     pub fn apply(&mut self, now: Tenths, input: Input) -> Vec<Effect> {
@@ -299,9 +335,76 @@
             Input::FrontEmpty => self.connected = false,
         }
         self.settle();
+        if self.verifying.is_some() {
+            self.verify();
+        }
         std::mem::take(&mut self.ledger.effects)
     }
 
+    /// Files of metadata are fetched as invocations of their own, through the same module and limits; answers
+    /// that waited for one are checked.
+    fn verify(&mut self) {
+        for _ in 0..FETCHES_AT_ONCE {
+            let now = self.ledger.now;
+            let Some(verifying) = &mut self.verifying else { return };
+            verifying.look_at_the_clock(now);
+            let mut next = None;
+            let mut effects = std::mem::take(&mut self.ledger.effects);
+            effects.retain(|effect| match effect {
+                Effect::Answer(ticket, answer) if *ticket >= OWN_TICKETS => {
+                    let file = match answer {
+                        FinalAnswer::Succeeded(reply) if !reply.body.is_empty() => Some(&reply.body[..]),
+                        _ => None,
+                    };
+                    next = verifying.fetched(now, file).or(next.take());
+                    false
+                }
+                _ => true,
+            });
+            let next = next.or_else(|| verifying.next(now));
+            effects.extend(verifying.told.drain(..).map(Effect::Told));
+            effects.extend(verifying.keep.take().map(Effect::KeepTrusted));
+            self.ledger.effects = effects;
+            let waiting = std::mem::take(&mut self.unchecked);
+            let again = !waiting.is_empty();
+            for (id, outcome) in waiting {
+                if self.ledger.dispatches.contains_key(&id) {
+                    self.ended(id, outcome);
+                }
+            }
+            if let Some(path) = &next {
+                self.fetch(path);
+            }
+            if again || next.is_some() {
+                self.settle();
+            }
+            let owed =
+                |effect: &Effect| matches!(effect, Effect::Answer(ticket, _) if *ticket >= OWN_TICKETS);
+            if !self.ledger.effects.iter().any(owed) {
+                return;
+            }
+        }
+    }
+
+    fn fetch(&mut self, path: &str) {
+        let Some(op) = self.verifying.as_ref().map(Verifying::op) else { return };
+        let Ok(target) = path.parse() else { return };
+        self.fetches += 1;
+        let id = format!("metadata-{}-{}", self.ledger.now.0, self.fetches);
+        let mut headers = hyper::HeaderMap::new();
+        if let Ok(value) = id.parse() {
+            headers.insert("x-request-id", value);
+        }
+        let call = Call { method: hyper::Method::GET, target, headers, body: Default::default() };
+        let ticket = Ticket(OWN_TICKETS.0 + self.fetches);
+        let until = self.ledger.now + FETCH_WITHIN;
+        self.arrived(ticket, ClientId(id.into()), Arc::new(call), op, until);
+    }
+
+    pub fn verifying(&self) -> Option<&Verifying> {
+        self.verifying.as_ref()
+    }
+
     /// One step of leadership, where it is on, and what the module is to hear of it.
     fn lead(&mut self, step: impl FnOnce(&mut Leading, Tenths) -> Came) {
         let now = self.ledger.now;
@@ -357,7 +460,13 @@
             return self.ledger.effects.push(Effect::Answer(ticket, FinalAnswer::IdTaken));
         }
         let inv = id_of(ticket);
-        let held = Held { ticket, id, call, until, sent: 0, out: Vec::new(), answered: false };
+        let mut target = None;
+        if let Some(verifying) = self.verifying.as_mut().filter(|_| ticket < OWN_TICKETS) {
+            target = verifying.target_of(op, call.target.path()).map(str::to_string);
+            target.iter().for_each(|path| verifying.expect(path));
+        }
+        let held =
+            Held { ticket, id, call, until, sent: 0, out: Vec::new(), answered: false, target, failed: None };
         self.ledger.invs.insert(inv.clone(), held);
         self.ledger.open += 1;
         self.balancer.invocation(&mut self.ledger, inv, None, op, until);
@@ -371,9 +480,43 @@
         self.ledger.forget_if_over(inv);
     }
 
+    /// The outcome as it counts: of a verified operation an answer that is not what was signed is an error that
+    /// may have run. None while the check waits for metadata.
+    fn checked(&mut self, id: DispatchId, mut outcome: Outcome) -> Option<Outcome> {
+        let Some(verifying) = &mut self.verifying else { return Some(outcome) };
+        let inv = self.ledger.dispatches.get(&id).map(|dispatch| &dispatch.inv);
+        let held = inv.and_then(|inv| self.ledger.invs.get_mut(inv));
+        let Some(held) = held else { return Some(outcome) };
+        if held.ticket >= OWN_TICKETS {
+            // That there is no such file is an answer, and nobody's fault.
+            if outcome.absent {
+                outcome.ending = Ending::Succeeded;
+                outcome.reply = Reply::default();
+            }
+            return Some(outcome);
+        }
+        let Some(path) = held.target.as_deref().filter(|_| outcome.ending == Ending::Succeeded) else {
+            return Some(outcome);
+        };
+        match verifying.check(path, &outcome.reply.body) {
+            Check::Good => {}
+            Check::Bad(kind) => {
+                held.failed = Some(kind);
+                outcome.ending = Ending::Error;
+                outcome.reply = Reply::default();
+            }
+            Check::Wait => {
+                self.unchecked.push((id, outcome));
+                return None;
+            }
+        }
+        Some(outcome)
+    }
+
     fn ended(&mut self, id: DispatchId, outcome: Outcome) {
+        let Some(outcome) = self.checked(id, outcome) else { return };
         let Some(Dispatch { inv, nth, at, .. }) = self.ledger.forget(id) else { return };
-        let Outcome { ending, at: ended_at, in_flight, reply } = outcome;
+        let Outcome { ending, at: ended_at, in_flight, reply, .. } = outcome;
         if ending == Ending::Succeeded {
             // Answered first: nothing that the module does on hearing of it may come before.
             if let Some(held) = self.ledger.invs.get_mut(&inv).filter(|held| !held.answered) {
--- a/crates/stagepond-sidecar/src/shell.rs
+++ b/crates/stagepond-sidecar/src/shell.rs
@@ -19,7 +19,8 @@
 use crate::peers::Peers;
 use crate::platform::{self, Vote};
 use crate::pods::Pods;
-use crate::reducer::Reducer;
+use crate::reducer::{Reducer, Switched};
+use crate::verifying::{Told, Verifying};
 
 /// Descriptors for all but clients and pods: listener, datagrams, discovery, platform, votes, the runtime's
 /// own, and a few on their way out.
@@ -84,6 +85,17 @@
     tracing::info!(name = launch.name, clients = %at, %datagrams, clients_max, "listening");
     launch.missing.iter().for_each(|what| tracing::warn!("the settings have {what}: not there on sockets"));
 
+    let (trust, trusted) = mpsc::unbounded_channel();
+    let verifying = match launch.operators.verified {
+        Some(asked) => {
+            if let Some(path) = asked.state {
+                tokio::spawn(keeping::keep_trusted(path, trusted));
+            }
+            Some(Verifying::new(clock.now(), asked.asked, launch.seed).context("tuf")?)
+        }
+        None => None,
+    };
+
     let (mut reducer, mut effects) = Reducer::new(
         clock.now(),
         launch.facts,
@@ -91,7 +103,7 @@
         launch.places,
         launch.known,
         launch.standing,
-        leading,
+        Switched { leading, verifying },
     );
     let mut batch = Vec::new();
     loop {
@@ -107,6 +119,8 @@
                     let _ = votes.send(Vote { build, stage, verdict, until, mandate });
                 }
                 Effect::Keep { number, promises } => drop(keep.send((number, promises))),
+                Effect::KeepTrusted(kept) => drop(trust.send(kept)),
+                Effect::Told(told) => verified(told),
                 Effect::Note(note) => noted(note, clock.now()),
                 Effect::WholeList => whole.notify_one(),
                 Effect::Reread => batch.push(Input::Reread(reread().map_err(|error| format!("{error:#}")))),
@@ -190,3 +204,19 @@
         Note::Member { seat, health } => tracing::info!(event = "member", seat = seat.0, ?health, "member"),
     }
 }
+
+fn verified(told: Told) {
+    match told {
+        Told::Trusted { versions } => tracing::info!(event = "trusted", ?versions, "new metadata"),
+        Told::Refused { kind, why, again_in } => {
+            tracing::warn!(event = "metadata_refused", kind, again_in_ms = again_in.0 / 10, "{why}");
+        }
+        Told::GoesOnEnded { since } => {
+            tracing::error!(
+                event = "goes_on_ended",
+                since,
+                "the trusted metadata have ended and are used all the same"
+            );
+        }
+    }
+}
--- a/crates/stagepond-sidecar/src/stories.rs
+++ b/crates/stagepond-sidecar/src/stories.rs
@@ -11,7 +11,8 @@
 use crate::leading::Leading;
 use crate::lifecycle::State;
 use crate::messages::*;
-use crate::reducer::Reducer;
+use crate::reducer::{Reducer, Switched};
+use crate::verifying::Verifying;
 
 const IDEMPOTENT: Op = Op(0);
 const SIDE_EFFECTING: Op = Op(1);
@@ -81,11 +82,24 @@
     }
 
     pub(crate) fn led(facts: Facts, rows: Vec<Row>, leading: Option<Leading>) -> Story {
+        Story::with(facts, rows, leading, None)
+    }
+
+    pub(crate) fn with(
+        facts: Facts, rows: Vec<Row>, leading: Option<Leading>, verifying: Option<Verifying>,
+    ) -> Story {
         let now = BEGIN;
         let standing =
             Standing { build: Build(1), stage: 3, phase: Phase::Released, cap: 1.0, since: Tenths(0) };
-        let (reducer, told) =
-            Reducer::new(now, facts, 7, places(8500), list(true, rows), Some(standing), leading);
+        let (reducer, told) = Reducer::new(
+            now,
+            facts,
+            7,
+            places(8500),
+            list(true, rows),
+            Some(standing),
+            Switched { leading, verifying },
+        );
         Story { reducer, now, tickets: 0, told }
     }
 
@@ -100,7 +114,7 @@
     }
 
     /// Lets time pass as the shell does: a tick whenever one is due.
-    fn pass(&mut self, time: Tenths) -> Vec<Effect> {
+    pub(crate) fn pass(&mut self, time: Tenths) -> Vec<Effect> {
         let (until, mut effects) = (self.now + time, Vec::new());
         for ticks in 0.. {
             assert!(ticks < 10_000, "time stands still");
@@ -128,9 +142,9 @@
         (ticket, self.input(input))
     }
 
-    fn ends(&mut self, id: DispatchId, ending: Ending) -> Vec<Effect> {
+    pub(crate) fn ends(&mut self, id: DispatchId, ending: Ending) -> Vec<Effect> {
         let reply = Reply { body: "as it came".into(), ..Reply::default() };
-        self.input(Input::Ended(id, Outcome { ending, at: self.now, in_flight: None, reply }))
+        self.input(Input::Ended(id, Outcome { ending, at: self.now, in_flight: None, reply, absent: false }))
     }
 }
 
--- a/crates/stagepond-tuf/src/client.rs
+++ b/crates/stagepond-tuf/src/client.rs
@@ -177,6 +177,8 @@
     /// Never goes back: a clock that does must not make expired files valid again.
     latest: Second,
     new_roots: u32,
+    /// For how many seconds past its end a file still counts in a search; none in a refresh.
+    grace: i64,
     planted: Planted,
 }
 
@@ -206,6 +208,7 @@
             now: Second(0),
             latest: Second(0),
             new_roots: 0,
+            grace: 0,
             planted,
         };
         // It must at least be signed by those it names.
@@ -268,7 +271,7 @@
     pub fn refresh(&mut self, now: Second) -> Want {
         self.time(now);
         self.search = None;
-        self.new_roots = 0;
+        (self.new_roots, self.grace) = (0, 0);
         self.step = Step::Root;
         self.want_root()
     }
@@ -336,7 +339,7 @@
     }
 
     fn current(&self, role: &str, expires: Second) -> Result<(), Refusal> {
-        if expires <= self.now && !self.planted.has(Fault::ExpiryIgnored) {
+        if expires.0 + self.grace <= self.now.0 && !self.planted.has(Fault::ExpiryIgnored) {
             return Err(Refusal::Expired { role: role.into(), since: expires });
         }
         Ok(())
@@ -549,9 +552,11 @@
         self.all_current()
     }
 
-    /// Looks a target up (section 5.6.7). What is trusted must be current at this moment.
-    pub fn find(&mut self, now: Second, path: &str) -> Result<Came, Refusal> {
+    /// Looks a target up (section 5.6.7). What is trusted must be current at this moment, or have ended no longer
+    /// ago than `grace` seconds: who gives any says so to the people.
+    pub fn find(&mut self, now: Second, grace: i64, path: &str) -> Result<Came, Refusal> {
         self.time(now);
+        self.grace = grace;
         self.step = Step::Idle;
         for (role, _, expires) in self.trusted() {
             self.current(role, expires)?;
@@ -624,6 +629,11 @@
         self.look_on()
     }
 
+    /// Whether there is a whole set of top-level metadata to search.
+    pub fn ready(&self) -> bool {
+        self.timestamp.is_some() && self.snapshot.is_some() && self.targets.contains_key(&top())
+    }
+
     pub fn planted(&self) -> Planted {
         self.planted
     }
--- a/crates/stagepond-tuf/src/repository.rs
+++ b/crates/stagepond-tuf/src/repository.rs
@@ -4,6 +4,8 @@
 
 use std::collections::BTreeMap;
 
+use serde::{Deserialize, Serialize};
+
 use crate::form::*;
 use crate::keys::{Secret, SecretFault};
 
@@ -20,7 +22,7 @@
 }
 
 /// For how many seconds each role's files count.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 pub struct Terms {
     pub root: i64,
     pub targets: i64,
@@ -43,7 +45,7 @@
 }
 
 /// What a repository is before it is signed.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Repository {
     pub root: Root,
     pub targets: Targets,
