--- a/crates/stagepond-lab/src/tuf/mod.rs
+++ b/crates/stagepond-lab/src/tuf/mod.rs
@@ -2,3 +2,4 @@
 
 pub mod attacks;
 pub mod proof;
+pub mod sockets;
--- a/crates/stagepond-tuf/src/client.rs
+++ b/crates/stagepond-tuf/src/client.rs
@@ -629,6 +629,11 @@
         self.look_on()
     }
 
+    /// The top-level targets that are trusted.
+    pub fn targets(&self) -> Option<&Targets> {
+        self.targets.get(&top()).map(|file| &file.signed)
+    }
+
     /// Whether there is a whole set of top-level metadata to search.
     pub fn ready(&self) -> bool {
         self.timestamp.is_some() && self.snapshot.is_some() && self.targets.contains_key(&top())
--- a/crates/stagepond-tuf/src/lib.rs
+++ b/crates/stagepond-tuf/src/lib.rs
@@ -4,7 +4,8 @@
 //!
 //! From below: [`form`] (the metadata as typed values), [`keys`] (signatures and thresholds), [`paths`] (which
 //! delegation a target belongs to), [`client`] (the workflow of section 5), [`target`] (a target's bytes as they
-//! come), [`index`] (large sets of targets), [`repository`] (making, signing, rotating).
+//! come), [`index`] (large sets of targets), [`repository`] (making, signing, rotating), [`uptane`] (two
+//! repositories that must agree).
 
 pub mod client;
 pub mod form;
@@ -14,3 +15,4 @@
 pub mod planted;
 pub mod repository;
 pub mod target;
+pub mod uptane;
