--- a/crates/stagepond-lab/src/main.rs
+++ b/crates/stagepond-lab/src/main.rs
@@ -60,6 +60,11 @@
         #[arg(long)]
         large: bool,
     },
+    /// Measure TUF: the index against a plain map, checking against copying, signatures a second
+    MeasureTuf {
+        #[arg(long, default_value_t = 1_000_000)]
+        targets: usize,
+    },
     /// Run one seed of leadership's world and tell what happens in it
     ReplayLeadership {
         seed: u64,
@@ -237,6 +242,20 @@
     }
 }
 
+fn measure_tuf(targets: usize) -> ExitCode {
+    use stagepond_lab::tuf::measure;
+    let i = measure::index(targets);
+    println!("| {} targets | packed index | plain map |", i.targets);
+    println!("| --- | --- | --- |");
+    println!("| bytes for each | {:.1} | {:.1} |", i.packed_bytes, i.plain_bytes);
+    println!("| microseconds a look-up | {:.2} | {:.2} |", i.packed_us, i.plain_us);
+    let (checked, copied) = measure::checking(5 << 20);
+    println!();
+    println!("a pack of 5 MiB in pieces of 16 KiB: {checked:.2} ms to check, {copied:.2} ms to copy");
+    println!("Ed25519 signatures verified a second: {:.0}", measure::signatures());
+    ExitCode::SUCCESS
+}
+
 fn ms(t: Tenths) -> String {
     if t == Tenths::NEVER {
         return "never".into();
@@ -314,6 +333,7 @@
             prove_leadership(seed, runs, threads, program)
         }
         Command::ProveTuf { seed, runs, pairs, program } => prove_tuf(seed, runs, pairs, program),
+        Command::MeasureTuf { targets } => measure_tuf(targets),
         Command::MeasureLeadership { runs, large } => measure_leadership(runs, large),
         Command::ReplayLeadership { seed, planted, quiet } => replay_leadership(seed, planted, quiet),
     }
