--- a/crates/stagepond-lab/src/tuf/measure.rs
+++ b/crates/stagepond-lab/src/tuf/measure.rs
@@ -61,7 +61,7 @@
 
 /// Checking a pack of so many bytes as it comes in pieces of 16 KiB, and copying it: ms each.
 pub fn checking(bytes: usize) -> (f64, f64) {
-    let pack: Vec<u8> = (0..bytes).map(|n| (n * 31 >> 3) as u8).collect();
+    let pack: Vec<u8> = (0..bytes).map(|n| ((n * 31) >> 3) as u8).collect();
     let mut target = describe(&pack);
     target.hashes.remove("sha512");
     let checked = median(|| {
