--- a/crates/stagepond-leadership/src/planted.rs
+++ b/crates/stagepond-leadership/src/planted.rs
@@ -5,7 +5,7 @@
 pub enum Fault {
     /// Nothing kept is found again, but the process takes itself for the old voter.
     TermForgotten,
-    /// The vote of a term is not kept with the term.
+    /// The vote of a term is not kept with the term, nor the hold that a start begins with, which would hide it.
     VoteForgotten,
     /// A lease as long as the hold, whatever the clocks do.
     LeaseWithoutDrift,
--- a/crates/stagepond-sidecar/src/leading.rs
+++ b/crates/stagepond-sidecar/src/leading.rs
@@ -20,13 +20,38 @@
 /// What happened, for the log: each kind has a name of its own there.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Note {
-    Leads { term: Term, until: Tenths },
-    SteppedDown { term: Term, why: &'static str },
-    InForce { term: Term, number: Number, holder: Seat, decree: String },
-    CaughtUp { number: Number },
-    Founded { term: Term },
-    Refused { decree: String, why: String },
-    Member { seat: Seat, health: Health },
+    Leads {
+        term: Term,
+        until: Tenths,
+    },
+    SteppedDown {
+        term: Term,
+        why: &'static str,
+    },
+    InForce {
+        term: Term,
+        number: Number,
+        holder: Seat,
+        decree: String,
+    },
+    CaughtUp {
+        number: Number,
+    },
+    Founded {
+        term: Term,
+    },
+    Refused {
+        decree: String,
+        why: String,
+    },
+    Member {
+        seat: Seat,
+        health: Health,
+    },
+    /// Datagrams that were not taken, by reason, since the start.
+    Dropped {
+        counts: String,
+    },
 }
 
 pub struct Leading {
@@ -42,6 +67,8 @@
     asked_frozen: BTreeSet<Build>,
     led: bool,
     voters: Vec<Peer>,
+    /// How many datagrams were dropped when that was last told, and when it may be told again.
+    dropped: (u64, Tenths),
     /// The share last told to the module.
     told: Option<(Build, f64)>,
 }
@@ -56,6 +83,8 @@
     pub again: bool,
 }
 
+/// What is dropped is told at most this often: whoever sends it must not fill the log.
+const COMPLAIN_EVERY: Tenths = Tenths::ms(1000);
 const MILLION: f64 = 1_000_000.0;
 
 pub fn is_for_leadership(words: &[u8]) -> bool {
@@ -83,6 +112,7 @@
             asked_frozen: asked.frozen.iter().copied().collect(),
             led: false,
             voters: Vec::new(),
+            dropped: (0, now),
             told: None,
         }
     }
@@ -101,7 +131,18 @@
     }
 
     pub fn datagram(&mut self, now: Tenths, words: &[u8]) -> Came {
-        self.step(now, In::Datagram(words))
+        let mut came = self.step(now, In::Datagram(words));
+        if now >= self.dropped.1 {
+            let dropped = self.instance.status().dropped;
+            let all: u64 = dropped.values().sum();
+            if all > self.dropped.0 {
+                self.dropped = (all, now + COMPLAIN_EVERY);
+                let counts: Vec<String> =
+                    dropped.iter().filter(|(_, n)| **n > 0).map(|(why, n)| format!("{why:?}={n}")).collect();
+                came.effects.push(Effect::Note(Note::Dropped { counts: counts.join(" ") }));
+            }
+        }
+        came
     }
     pub fn tick(&mut self, now: Tenths) -> Came {
         if now >= self.next_due() {
--- a/crates/stagepond-sidecar/src/leading_stories.rs
+++ b/crates/stagepond-sidecar/src/leading_stories.rs
@@ -6,7 +6,7 @@
 use stagepond_leadership::bounds::Bounds;
 use stagepond_leadership::seal::Key;
 
-use crate::leading::Leading;
+use crate::leading::{Leading, Note};
 use crate::messages::*;
 use crate::operators::{KeyRing, Leadership};
 use crate::stories::{facts, list, row, Story, BEGIN};
@@ -170,6 +170,31 @@
     assert!(trio.votes.iter().any(|(.., verdict)| *verdict == Verdict::On));
 }
 
+/// With another key an instance is heard by nobody; the log must say why, and not for each datagram.
+#[rstest]
+fn what_another_key_sealed_is_dropped_and_told_now_and_then() {
+    let (mut trio, leader) = Trio::led();
+    let other = Key::new(9, &[9; 32]).unwrap();
+    let mut stranger = stagepond_leadership::seal::Seals::new(
+        stagepond_leadership::ids::Seat(((leader + 1) % SIDECARS) as u16),
+        stagepond_leadership::ids::Life(5),
+        SIDECARS as u16,
+        stagepond_leadership::seal::Keys::new(other),
+    );
+    let to = stagepond_leadership::ids::Seat(leader as u16);
+    let mut told = 0;
+    for _ in 0..100 {
+        let words = stranger.seal(to, b"x");
+        trio.stories[leader].now = trio.now;
+        let effects = trio.stories[leader].input(Input::Mail { from: Peer(0), words });
+        told += effects
+            .iter()
+            .filter(|e| matches!(e, Effect::Note(Note::Dropped { counts }) if counts.contains("UnknownKey")))
+            .count();
+    }
+    assert_eq!(told, 1);
+}
+
 #[rstest]
 fn a_planned_end_hands_the_lead_on() {
     let (mut trio, leader) = Trio::led();
--- a/crates/stagepond-sidecar/src/shell.rs
+++ b/crates/stagepond-sidecar/src/shell.rs
@@ -201,6 +201,9 @@
         }
         Note::Founded { term } => tracing::warn!(event = "founded", term = term.0, "an era begins"),
         Note::Refused { decree, why } => tracing::debug!(event = "refused", decree, why, "not decided"),
+        Note::Dropped { counts } => {
+            tracing::warn!(event = "datagrams_dropped", counts, "datagrams not taken")
+        }
         Note::Member { seat, health } => tracing::info!(event = "member", seat = seat.0, ?health, "member"),
     }
 }
