--- a/crates/stagepond-sidecar/src/front.rs
+++ b/crates/stagepond-sidecar/src/front.rs
@@ -53,7 +53,7 @@
 /// No client waits for longer on one connection; the module forgets machines that are gone for longer.
 const LIMIT_MAX: Tenths = Tenths::ms(600_000);
 
-const ID: &str = "x-request-id";
+pub const ID: &str = "x-request-id";
 const OPERATION: &str = "x-priority-class";
 const TIME_LIMIT: &str = "x-timeout-ms";
 const FINGERPRINT: &str = "idempotency-key";
--- a/crates/stagepond-sidecar/src/shell.rs
+++ b/crates/stagepond-sidecar/src/shell.rs
@@ -108,6 +108,9 @@
     let mut batch = Vec::new();
     loop {
         for effect in effects.drain(..) {
+            if tracing::enabled!(tracing::Level::DEBUG) {
+                follow_effect(&effect);
+            }
             match effect {
                 Effect::Dispatch { id, call, to, wait } => pods.dispatch(id, call, to, wait),
                 Effect::GiveUp(id) => pods.give_up(id),
@@ -171,11 +174,49 @@
             if let Input::Ended(id, _) = &input {
                 pods.over(*id);
             }
+            if tracing::enabled!(tracing::Level::DEBUG) {
+                follow_input(&input);
+            }
             effects.extend(reducer.apply(clock.now(), input));
         }
     }
 }
 
+/// An invocation's way through this sidecar, at level debug alone: its id, its ticket, its dispatches.
+fn follow_input(input: &Input) {
+    match input {
+        Input::Arrived { ticket, id, op, until, .. } => {
+            tracing::debug!(event = "arrived", id = %id.0, ticket = ticket.0, op = op.0, until = until.0, "inv");
+        }
+        Input::Left(ticket) => tracing::debug!(event = "left", ticket = ticket.0, "inv"),
+        Input::Ended(id, Outcome { ending, at, in_flight, .. }) => {
+            tracing::debug!(event = "ended", dispatch = id.0, ?ending, at = at.0, in_flight, "inv");
+        }
+        _ => {}
+    }
+}
+
+fn follow_effect(effect: &Effect) {
+    match effect {
+        Effect::Dispatch { id, call, to, wait } => {
+            let inv = call.headers.get(front::ID).and_then(|id| id.to_str().ok()).unwrap_or_default();
+            tracing::debug!(event = "dispatch", id = inv, dispatch = id.0, %to, wait = wait.0, "inv");
+        }
+        Effect::GiveUp(id) => tracing::debug!(event = "given_up", dispatch = id.0, "inv"),
+        Effect::Answer(ticket, answer) => {
+            let answer = match answer {
+                FinalAnswer::Succeeded(_) => "succeeded",
+                FinalAnswer::Throttled { .. } => "throttled",
+                FinalAnswer::Terminated => "terminated",
+                FinalAnswer::IdTaken => "id_taken",
+                FinalAnswer::Unverified { .. } => "unverified",
+            };
+            tracing::debug!(event = "answer", ticket = ticket.0, answer, "inv");
+        }
+        _ => {}
+    }
+}
+
 /// Decisions by name, so that a program can read them: `docs/leadership.md` lists them.
 fn noted(note: Note, now: Tenths) {
     let at = now.0;
