--- a/crates/stagepond/src/balance.rs
+++ b/crates/stagepond/src/balance.rs
@@ -90,7 +90,9 @@
         self.allowance[bucket] += cap;
         key.iter().for_each(|key| self.lanes[key.lane(LANES)] += 1.0);
         // A sidecar with little traffic keeps within less than one invocation by chance.
-        if self.open as f64 + self.lost + self.rng.f64() >= self.room * self.grade(op) {
+        let bound = self.room * self.grade(op) * self.hope(op, until - self.now);
+        if self.open as f64 + self.lost + self.rng.f64() >= bound {
+            self.pinched = true;
             self.fleet = (self.fleet.0 + 1.0, self.fleet.1 + 1.0);
             host.throttle(&inv, self.facts.stay_away_max);
             return self.settle(host);
@@ -108,6 +110,7 @@
         let Some(found) = self.invs.get_mut(inv) else { return self.settle(host) };
         let Some((pod, at, before)) = found.end(nth, ending) else { return self.settle(host) };
         let (op, answered, erred, key) = (found.op, found.answered, found.sent[nth].erred, found.key);
+        let wait = found.until - at;
         self.bind(key.filter(|_| ending == Ending::Succeeded), self.pods.build[pod]);
         self.note_pod(pod, at, ending, in_flight, took > self.facts.operations[op.0].slo_time.part(0.5));
         // What errs at any pod blames neither pod nor build: an error counts once another pod did better.
@@ -120,7 +123,7 @@
         } else if !erred && self.now != self.stood_still {
             self.note_evidence(pod, op, took, ending);
         }
-        self.note_room(pod, op, took, ending);
+        self.note_room(pod, op, took, wait, ending);
         self.succeeded_since_pulse += f64::from(ending == Ending::Succeeded);
         if last || answered {
             self.close(inv);
@@ -134,7 +137,7 @@
         self.look_up(host);
         // Who leaves early waits on a pod whose time-out would tell only seconds later.
         if let Some((op, pod, at)) = self.invs.get(inv).and_then(Inv::waits_on) {
-            self.note_room(pod, op, self.now - at, Ending::Succeeded);
+            self.note_room(pod, op, self.now - at, self.now - at, Ending::Succeeded);
         }
         self.close(inv);
         self.settle(host);
@@ -658,15 +661,20 @@
     }
 
     /// The room goes by how many answers take half the SLO time: a few costly ones are late on an idle fleet.
-    fn note_room(&mut self, p: usize, op: Op, took: Tenths, ending: Ending) {
+    fn note_room(&mut self, p: usize, op: Op, took: Tenths, wait: Tenths, ending: Ending) {
         let slo = self.facts.operations[op.0].slo_time;
         let tardy = match ending {
             _ if self.now == self.stood_still => return,
-            Ending::TimedOut if took < slo.part(0.5) => return, // the client's haste
+            // The client's haste: what had no time to be tardy tells nothing by being quick either.
+            Ending::Succeeded | Ending::TimedOut if wait < slo.part(0.5) => return,
             Ending::Succeeded => took > slo.part(0.5),
             Ending::TimedOut | Ending::Full | Ending::NoConnection => true,
             _ => return,
         };
+        let usual = self.usual[self.pods.kind[p].0 * self.facts.operations.len() + op.0].ms;
+        if usual > 0.0 && took > Tenths(0) {
+            self.drag += ((took.0 as f64 / 10.0 / usual).min(20.0) - self.drag) * 0.1;
+        }
         let far = usize::from(self.pods.zone[p] != self.facts.zone);
         self.tardy[far] += (f64::from(tardy) - self.tardy[far]) * 0.1;
         // What is lost on the way to a few pods is no sign of a full fleet.
@@ -676,10 +684,26 @@
             return;
         }
         let (tardy, all) = std::mem::take(&mut self.pace);
-        if tardy > TARDY * all {
-            self.room = (self.room.min(self.most_open + 1.0) * 0.93).max(0.3);
-        } else if self.open as f64 > self.room * 0.6 {
-            self.room = self.room * 1.04 + 0.2;
+        let pinched = std::mem::take(&mut self.pinched);
+        // A small sidecar has eight answers in a second or two: it goes by how far off they are.
+        let over = tardy / all - TARDY;
+        if over > 0.0 {
+            // Where far pods do better the near ones' lateness is first answered by going there.
+            let spills = self.near[0] < self.earlier.len() && self.tardy[0] > self.tardy[1] + SICK;
+            let cut = if spills { 0.07 } else { 0.07 + 0.6 * over };
+            self.room = (self.room.min(self.most_open + 1.0) * (1.0 - cut)).max(0.3);
+        } else if pinched || self.open as f64 > self.room * 0.6 {
+            self.room = self.room * (1.04 - 0.2 * over) + 0.2 - over;
+        }
+    }
+
+    /// The chance that an answer comes while it is waited for, as answers are now.
+    fn hope(&self, op: Op, wait: Tenths) -> f64 {
+        let ms = self.usual[op.0].ms * self.drag.max(1.0);
+        if ms > 0.0 {
+            1.0 - (-(wait.0 as f64 / 10.0) / ms).exp()
+        } else {
+            1.0
         }
     }
 
--- a/crates/stagepond/src/state.rs
+++ b/crates/stagepond/src/state.rs
@@ -355,6 +355,10 @@
     pub(crate) lost: f64,
     /// Answers since the room was last set: the tardy ones, and all.
     pub(crate) pace: (f64, f64),
+    /// Whether the room has throttled since.
+    pub(crate) pinched: bool,
+    /// How many times longer than usual answers take now.
+    pub(crate) drag: f64,
     pub(crate) succeeded_since_pulse: f64,
     pub(crate) rate: f64,
     pub(crate) rate_a_pod: f64,
--- a/crates/stagepond/tests/stories.rs
+++ b/crates/stagepond/tests/stories.rs
@@ -314,6 +314,60 @@
     assert_eq!(throttled(&mut s), 0);
 }
 
+/// Five invocations a second, as one of hundreds of sidecars has them: all at once, then their ends.
+fn seconds(s: &mut Sidecar, n: i64, wait: i64, took: i64, ending: Ending) -> usize {
+    let mut throttled = 0;
+    for _ in 0..n {
+        let all: Vec<String> = (0..5).map(|_| s.take_for(FETCH, wait)).collect();
+        s.pass(took);
+        for inv in &all {
+            throttled += usize::from(s.last_pod(inv).is_none());
+            s.end(inv, 0, took, ending);
+        }
+        s.pass(1000 - took);
+    }
+    throttled
+}
+
+/// Eight answers took a small sidecar seconds, and then the room went down by 7%: for ten seconds it sent
+/// what came late.
+#[rstest]
+fn a_small_sidecar_follows_a_full_fleet_down_and_up_within_seconds() {
+    let mut s = quiet(facts());
+    assert_eq!(seconds(&mut s, 20, 1000, 50, Ending::Succeeded), 0);
+    seconds(&mut s, 8, 1000, 900, Ending::Succeeded);
+    let held = seconds(&mut s, 2, 1000, 900, Ending::Succeeded);
+    assert!(held >= 6, "{held} of 10 held off while all are late");
+    seconds(&mut s, 14, 1000, 50, Ending::Succeeded);
+    assert!(seconds(&mut s, 2, 1000, 50, Ending::Succeeded) <= 1);
+}
+
+/// In a storm of clients that wait for 150 ms the few quick answers widened the room for the rest.
+#[rstest]
+fn quick_answers_to_hasty_clients_hide_no_full_fleet() {
+    let mut s = quiet(facts());
+    seconds(&mut s, 20, 1000, 50, Ending::Succeeded);
+    for _ in 0..8 {
+        seconds(&mut s, 1, 1000, 900, Ending::Succeeded);
+        seconds(&mut s, 2, 150, 100, Ending::Succeeded);
+    }
+    assert!(seconds(&mut s, 2, 1000, 900, Ending::Succeeded) >= 5);
+}
+
+/// 150 and 250 ms were waited while an answer took 670 ms; pods worked on in vain at three of four.
+#[rstest]
+fn who_waits_for_less_than_answers_take_now_is_throttled_first() {
+    let mut s = quiet(facts());
+    seconds(&mut s, 20, 1000, 50, Ending::Succeeded);
+    assert_eq!(seconds(&mut s, 1, 150, 100, Ending::Succeeded), 0);
+    seconds(&mut s, 3, 1000, 400, Ending::Succeeded);
+    let throttled = |s: &mut Sidecar, wait| -> usize {
+        (0..20).map(|_| (s.pass(500), seconds(s, 1, wait, 400, Ending::TimedOut)).1).sum()
+    };
+    let hasty = throttled(&mut s, 60);
+    assert!(hasty > 30, "{hasty} of 100");
+}
+
 #[rstest]
 #[case::in_haste(30, None)]
 #[case::after_a_long_wait(400, Some(&(2, 0, Verdict::Back)))]
