--- a/crates/stagepond/src/balance.rs
+++ b/crates/stagepond/src/balance.rs
@@ -24,9 +24,12 @@
 const ON_WAIT: Tenths = Tenths::ms(4000);
 // "Late" alone never blames a slow build on a quiet day; and slow answers come in runs.
 const SLOW_QUANTILE: f64 = 0.8;
+// What the logarithm of a time spread like an exponential asks for: 1 over its density at that quantile.
+const MARK_GAIN: f64 = 3.0;
 const SLOW_ABOVE: f64 = 0.3;
 const SLOW_WEIGHT: f64 = 0.3;
 const SHARED_FROM: f64 = 0.2;
+const SLIGHT: f64 = 0.1; // a part of the pods that can't slow a fleet yet
 const WRONG_SHARE: f64 = 0.06;
 const FLAG_WEIGHT: f64 = 0.85; // some are false
 const NO_FLAG_WEIGHT: f64 = 0.7; // reports are seconds late, silence is less than a finding
@@ -202,8 +205,8 @@
         self.settle(host);
     }
 
-    /// Who hears the bits from now on, and whether this sidecar is the one that may act on their sum: where one
-    /// leads, the host knows.
+    /// Who hears the bits from now on, and whether this sidecar is the one that may act on their sum: where
+    /// one leads, the host knows.
     pub fn leadership(&mut self, host: &mut dyn Host, voters: Vec<Peer>, acts: bool) {
         // Who is new among them has heard nothing yet.
         self.spoken_at = if self.voters == voters { self.spoken_at } else { Tenths(0) };
@@ -567,14 +570,16 @@
         if hasty || !(counts || cut) || judged && age < FRESH {
             return;
         }
-        let (released, watching) = (self.released(), self.news().is_some());
+        let (released, watching) = (self.released(), self.weighty().is_some());
         // Late answers and time-outs are the slow test's matter: under load they come at any build.
         let (late, erred, even) = (ending == Ending::TimedOut, ending == Ending::Error, self.cap() < 1.0);
         let usual = &mut self.usual[self.pods.kind[p].0 * self.facts.operations.len() + o];
         // While the trial carries its part the earlier pods carry less than before, and answer sooner.
         let before = judged && self.calm_seconds > 0.0;
         let slow = late || cut || ms > usual.slow_mark.max(if before { usual.mark_before } else { 0.0 });
-        if age >= FRESH && !erred && (!judged || self.alone || !even) {
+        // Against a mark not learnt yet most are slow, and a time before that seems bad hides a bad build.
+        let learnt = watching || usual.answers >= P0_TRUSTED_AFTER;
+        if age >= FRESH && !erred && learnt && (!judged || self.alone || !even) {
             let mark = if watching { usual.mark_before } else { usual.slow_mark };
             self.fleet = (self.fleet.0 + f64::from(late || ms > mark), self.fleet.1 + 1.0);
         }
@@ -611,7 +616,7 @@
             if !erred {
                 self.succeeded += 1.0;
                 usual.at = self.now;
-                usual.note(ms, slow, SLOW_QUANTILE, 64, 0.04);
+                usual.note(ms, slow, SLOW_QUANTILE, 64, 0.04, MARK_GAIN);
             }
         }
     }
@@ -629,8 +634,9 @@
     /// came in one round is summed first: one by one, the lower bound would keep the bad and lose the good.
     fn sum_up(&mut self) {
         let (a, b) = (((1.0 - ALPHA) / BETA).ln(), ((1.0 - BETA) / ALPHA).ln());
-        self.gathered[SHARED] /= self.facts.sidecars as f64;
-        for (g, news) in std::mem::take(&mut self.gathered).into_iter().enumerate() {
+        let mut gathered = std::mem::take(&mut self.gathered);
+        gathered[SHARED] = self.of_one_spell(gathered[SHARED] / self.facts.sidecars as f64);
+        for (g, news) in gathered.into_iter().enumerate() {
             // Flags come late and few, a slow fleet is a matter of the moment: neither gathers credit.
             let floor = [-CREDIT * a, -CREDIT * a, -BAND, 0.0][g];
             self.totals[g] = (self.totals[g] + news).clamp(floor, b + BAND);
@@ -638,29 +644,46 @@
         }
     }
 
+    /// Slowness counts only if it set in soon after the build got more. All sidecars together see that: of a
+    /// few answers a second by chance none is slow, and one alone would then see the spell begin anew.
+    fn of_one_spell(&mut self, news: f64) -> f64 {
+        self.slowing = self.slowing * 0.8 + news;
+        let early = |t: Told| !self.trial.is_empty() && self.now < t.from + Tenths::ms(7000);
+        let early = self.news().is_some_and(early);
+        self.slow_spell = (self.slowing > 0.0).then(|| self.slow_spell.unwrap_or(early));
+        if self.slow_spell == Some(false) {
+            news.min(0.0)
+        } else {
+            news
+        }
+    }
+
     /// A build may slow old and new pods alike: the fleet is held against the time before; the throttled
-    /// count as slow, or the limiter would hide it. A spell counts by the build's traffic, and only if it set
-    /// in soon after the build got more.
+    /// count as slow, or the limiter would hide it. A spell counts by the build's traffic.
     fn weigh_fleet(&mut self) {
+        let calm = self.weighty().is_none();
+        if calm {
+            self.usual.iter_mut().filter(|u| u.answers > 0).for_each(|u| u.mark_before = u.slow_mark);
+        }
         if self.now < self.fleet_at + Tenths::ms(1000) || self.fleet.1 < 5.0 {
             return;
         }
         let secs = (self.now - self.fleet_at).secs().min(3.0);
         self.fleet_at = self.now;
         let (slow, all) = std::mem::take(&mut self.fleet);
-        let Some(told) = self.news().filter(|t| t.phase != Phase::Withdrawn) else {
+        if calm {
             self.calm_seconds += 1.0;
             self.fleet_before += (slow / all - self.fleet_before) * (1.0 / self.calm_seconds).max(0.1);
-            return self.usual.iter_mut().for_each(|u| u.mark_before = u.slow_mark);
-        };
-        let usual = self.fleet_before.max(1.0 - SLOW_QUANTILE);
-        let side = ((slow / all - usual - SHARED_FROM) / SHARED_FROM).clamp(-1.0, 1.0);
-        let early = !self.trial.is_empty() && self.now < told.from + Tenths::ms(7000);
-        self.slow_spell = (side > 0.0).then(|| self.slow_spell.unwrap_or(early));
-        if side < 0.0 || self.slow_spell == Some(true) {
-            let traffic = if self.alone { 0.5 } else { self.part };
-            self.feed(SHARED, side * 2.2 * secs * traffic);
+            return;
         }
+        let usual = self.fleet_before.max(1.0 - SLOW_QUANTILE);
+        // Such a build slows in step with its traffic: at a quarter it shows half of what it does at half.
+        let traffic = if self.alone { 0.5 } else { self.part };
+        let from = SHARED_FROM * (2.0 * traffic).clamp(0.5, 1.0);
+        // Cut at less than what chance does to a few answers, the sum of many sidecars would fall short.
+        let bound = 1.0 + 2.0 / all.sqrt();
+        let side = ((slow / all - usual - from) / from).clamp(-bound, bound);
+        self.feed(SHARED, side * 2.2 * secs * traffic.max((2.0 * traffic).min(0.5)));
     }
 
     /// The room goes by how many answers take half the SLO time: a few costly ones are late on an idle fleet.
@@ -750,6 +773,13 @@
         }
     }
 
+    /// What was told of the build, where it has enough of the pods to slow a whole fleet.
+    fn weighty(&self) -> Option<Told> {
+        let pods = (self.earlier.len() + self.trial.len()) as f64;
+        let slight = |t: &Told| t.phase == Phase::Trial && (self.trial.len() as f64) < SLIGHT * pods;
+        self.news().filter(|t| t.phase != Phase::Withdrawn && !slight(t))
+    }
+
     fn voting(&self) -> Option<(Tenths, Told)> {
         Some((Tenths::ms(1500).part(self.turn? as f64), self.news()?))
     }
--- a/crates/stagepond/src/state.rs
+++ b/crates/stagepond/src/state.rs
@@ -284,8 +284,9 @@
 }
 
 impl Usual {
-    /// Follows the mean, the quantile and the share above it, each at the given pace.
-    pub fn note(&mut self, ms: f64, slow: bool, quantile: f64, memory: u32, step: f64) {
+    /// Follows the mean, the quantile and the share above it, each at the given pace; the quantile by `gain` times
+    /// as much while little is known.
+    pub fn note(&mut self, ms: f64, slow: bool, quantile: f64, memory: u32, step: f64, gain: f64) {
         self.answers += 1;
         let pace = 1.0 / f64::from(self.answers.min(memory));
         self.ms += (ms - self.ms) * pace;
@@ -294,7 +295,7 @@
         }
         self.slow_share += (f64::from(slow) - self.slow_share) * pace.min(step);
         let side = if slow { quantile } else { quantile - 1.0 };
-        self.slow_mark *= (side * pace.max(step)).exp();
+        self.slow_mark *= (side * (gain * pace).clamp(step, 1.0)).exp();
     }
 }
 
@@ -391,6 +392,8 @@
     pub(crate) fleet_at: Tenths,
     pub(crate) fleet_before: f64,
     pub(crate) calm_seconds: f64,
+    /// How much the whole fleet has been slowing of late, as all sidecars tell.
+    pub(crate) slowing: f64,
     /// Whether the fleet is slow, and if so, whether that set in soon after a change of stage.
     pub(crate) slow_spell: Option<bool>,
     /// No pod of an earlier build is left to compare with.
@@ -437,7 +440,7 @@
         self.allowance.iter_mut().for_each(|a| *a = 0.0);
         (self.sums, self.totals) = ([0.0; GROUNDS], [0.0; GROUNDS]);
         (self.gathered, self.best) = ([0.0; GROUNDS], [0.0; GROUNDS]);
-        (self.fleet, self.slow_spell) = ((0.0, 0.0), None);
+        (self.fleet, self.slowing, self.slow_spell) = ((0.0, 0.0), 0.0, None);
         self.said = vec![Said::default(); self.facts.sidecars];
         self.mine = Said { life: self.mine.life, ..Said::default() };
         (self.spoken, self.seen) = (self.mine, 0);
--- a/crates/stagepond/tests/stories.rs
+++ b/crates/stagepond/tests/stories.rs
@@ -667,6 +667,66 @@
     assert!(votes.contains(&(2, 0, Verdict::Back)));
 }
 
+/// Small sidecars of which the first votes, with seven invocations a second each, 150 pods, and 12 and then 60 of a
+/// build that slows all by so much from some seconds into its second stage. Times are spread like an exponential.
+fn small_sidecars(n: usize, calm: i64, sets_in: i64, slower: f64) -> Vec<(u16, u32, Verdict)> {
+    let mut rng = fastrand::Rng::with_seed(5);
+    let known = |me| Facts { sidecars: n, me: Peer(me), first_cap: 0.14, ..facts() };
+    let mut all: Vec<Sidecar> = (0..n).map(|me| seeded(known(me), me as u64)).collect();
+    let pods = |trial: u32| -> Vec<(u32, u16, i64)> {
+        (1..=150).map(|p| (p, 1, 0)).chain((151..151 + trial).map(|p| (p, 2, 90_000))).collect()
+    };
+    let mut live = |all: &mut [Sidecar], seconds: i64, slower: f64| {
+        for _ in 0..seconds * 7 {
+            for s in all.iter_mut() {
+                s.pass(143);
+                s.round_trip((10.0 - 60.0 * slower * (1.0 - rng.f64()).ln()) as i64, Ending::Succeeded);
+            }
+            for from in 1..all.len() {
+                let words = std::mem::take(&mut all[from].host.did);
+                for did in words {
+                    if let Did::Told(0, words) = did {
+                        let voter = &mut all[0];
+                        voter.b.peer(&mut voter.host, Peer(from), &words);
+                    }
+                }
+            }
+        }
+    };
+    all.iter_mut().for_each(|s| s.news(1, 0, Phase::Released, 1.0));
+    all.iter_mut().for_each(|s| s.list(true, &pods(0)));
+    live(&mut all, calm, 1.0);
+    all.iter_mut().for_each(|s| s.news(2, 0, Phase::Trial, 0.14));
+    all.iter_mut().for_each(|s| s.list(true, &pods(12)));
+    live(&mut all, 6, 1.0);
+    all.iter_mut().for_each(|s| s.news(2, 1, Phase::Trial, 0.7));
+    all.iter_mut().for_each(|s| s.list(true, &pods(60)));
+    live(&mut all, sets_in, 1.0);
+    live(&mut all, 14, slower);
+    all[0].votes().into_iter().filter(|vote| vote.1 == 1).collect()
+}
+
+/// The time before the trial lasted three seconds. Held against marks that were not learnt yet half of all had
+/// seemed slow, and a fleet of which two thirds are slow passed for the usual one.
+#[rstest]
+#[case::slower(2.5, Verdict::Back)]
+#[case::as_before(1.0, Verdict::On)]
+fn what_small_sidecars_know_of_the_time_before_is_not_their_first_guesses(
+    #[case] slower: f64, #[case] first: Verdict,
+) {
+    assert_eq!(small_sidecars(60, 3, 1, slower).first(), Some(&(2, 1, first)));
+}
+
+/// Of seven answers by chance some seconds have none that is slow. After each a sidecar took the spell for a new
+/// one and, as the stage was no longer young, for none of the build's: all together told less and less of it.
+#[rstest]
+#[case::the_builds(2, true)]
+#[case::another_spell(10, false)]
+fn all_sidecars_together_see_one_spell_and_when_it_set_in(#[case] sets_in: i64, #[case] back: bool) {
+    let votes = small_sidecars(60, 25, sets_in, 2.2);
+    assert_eq!(votes.contains(&(2, 1, Verdict::Back)), back, "{votes:?}");
+}
+
 /// A build that has no pod yet can't have slowed the fleet, so it need not wait until that is over.
 #[rstest]
 fn a_spell_that_set_in_before_the_build_had_a_pod_does_not_hold_it() {
