--- a/crates/stagepond-sidecar/src/discovery.rs
+++ b/crates/stagepond-sidecar/src/discovery.rs
@@ -1,4 +1,4 @@
-//! The watch on discovery: one connection that stays open, a JSON object a line. It owns the decoding of
+//! The watch on discovery: one connection that stays open, a JSON object a line or indented over many. It owns the decoding of
 //! lists and the reconnecting; it must never keep or change the list itself: the reducer holds it.
 
 use std::net::SocketAddr;
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use anyhow::{anyhow, bail, Context, Result};
+use serde::de::IgnoredAny;
 use serde::Deserialize;
 use serde_json::Value;
 use stagepond::host::*;
@@ -19,7 +20,7 @@
 const SILENCE: Duration = Duration::from_millis(3000);
 /// The agent is on the same machine and costs nothing, so a new try soon; still no spin while it is away.
 const RECONNECT: Duration = Duration::from_millis(100);
-/// A whole list of some thousand pods.
+/// A whole list of some thousand pods, indented too.
 const LINE_MAX: usize = 1 << 20;
 
 #[derive(Deserialize)]
@@ -82,6 +83,53 @@
     Ok(List { index: line.index, whole: line.snapshot, rows })
 }
 
+/// What has come of an object that may be spread over many lines. Braces are counted, as parsing all anew at each
+/// line would cost the square of a long list.
+#[derive(Default)]
+struct Spread {
+    text: String,
+    depth: usize,
+    quoted: bool,
+    escaped: bool,
+}
+
+impl Spread {
+    /// Takes a line; the object, once it is whole. Empty lines are signs of life.
+    fn take(&mut self, line: &str) -> Result<Option<String>> {
+        if self.text.is_empty() && line.trim().is_empty() {
+            return Ok(None);
+        }
+        // The rest of a cut one never comes: what follows it must not be lost behind it.
+        let begins =
+            line.trim_end() == "{" || line.starts_with('{') && serde_json::from_str::<Line>(line).is_ok();
+        if self.depth > 0 && begins {
+            bail!("an object was cut off before the next");
+        }
+        if self.text.len() + line.len() >= LINE_MAX {
+            bail!("longer than {LINE_MAX} bytes");
+        }
+        self.text.push_str(line);
+        self.text.push('\n');
+        for byte in line.bytes() {
+            match byte {
+                _ if self.escaped => self.escaped = false,
+                b'\\' if self.quoted => self.escaped = true,
+                b'"' => self.quoted = !self.quoted,
+                b'{' | b'[' if !self.quoted => self.depth += 1,
+                b'}' | b']' if !self.quoted => self.depth = self.depth.saturating_sub(1),
+                _ => {}
+            }
+        }
+        let (whole, first) = (self.depth == 0, self.text.len() == line.len() + 1);
+        if first && !whole {
+            // Only what stops short may go on; nonsense is told at once.
+            let cut = serde_json::from_str::<IgnoredAny>(line);
+            cut.or_else(|error| if error.is_eof() { Ok(IgnoredAny) } else { Err(error) })?;
+        }
+        Ok(whole.then(|| std::mem::take(self).text))
+    }
+}
+
 /// Watches for as long as the program runs. `whole` asks for the whole list once more; a move to another
 /// address does too, as another agent need not count its versions as the last one did.
 pub async fn watch(
@@ -118,6 +166,7 @@
         Ok(lines) => lines,
         Err(error) => return error,
     };
+    let mut spread = Spread::default();
     loop {
         let line = tokio::select! {
             line = lines.next(SILENCE) => line,
@@ -126,9 +175,10 @@
                 return anyhow!("the whole list is asked for");
             }
         };
-        let list = match line {
-            Ok(line) if line.trim().is_empty() => continue,
-            Ok(line) => serde_json::from_str(&line).map_err(Into::into),
+        let list = match line.map(|line| spread.take(&line)) {
+            Ok(Ok(None)) => continue,
+            Ok(Ok(Some(object))) => serde_json::from_str(&object).map_err(Into::into),
+            Ok(Err(error)) => Err(error),
             Err(error) => return error,
         };
         match list.and_then(|list| decode(list, names)) {
@@ -169,6 +219,33 @@
         assert_eq!(read(&GOOD.replace("6100.05", "0")).unwrap().rows[0].born, None);
     }
 
+    #[rstest]
+    fn an_indented_list_of_a_thousand_pods_is_read_like_one_on_a_line() {
+        let entry = |n: u32| {
+            let name = format!("s-\"{{{n}");
+            serde_json::json!({"name": name, "address": "10.1.0.18:8081", "zone": "a", "type": "m2",
+                "status": "in_service", "weight": 1.0, "since_ms": 0, "release": 41, "group": 1})
+        };
+        let all: Vec<Value> = (0..1024).map(entry).collect();
+        let list = serde_json::json!({"index": 43, "snapshot": true, "endpoints": all});
+        let mut spread = Spread::default();
+        for text in [serde_json::to_string_pretty(&list).unwrap(), list.to_string()] {
+            let lines = text.lines().flat_map(|line| [line, ""]);
+            let whole: Vec<String> = lines.filter_map(|line| spread.take(line).unwrap()).collect();
+            assert_eq!(whole.iter().map(|list| read(list).unwrap().rows.len()).collect::<Vec<_>>(), [1024]);
+        }
+    }
+
+    /// A cut one must not swallow all that comes after it.
+    #[rstest]
+    fn what_follows_a_cut_object_is_not_taken_for_its_rest(
+        #[values(r#"{"index":44,"snapshot":false,"endpoints":[]}"#, "{")] next: &str,
+    ) {
+        let mut spread = Spread::default();
+        assert!(spread.take(r#"{"index":43,"snapshot":false,"endpoints":[{"name":"#).unwrap().is_none());
+        assert!(spread.take(next).is_err());
+    }
+
     #[rstest]
     #[case::status("in_service", "resting")]
     #[case::zone(r#""zone":"a""#, r#""zone":"z""#)]
--- a/crates/stagepond-sidecar/tests/program.rs
+++ b/crates/stagepond-sidecar/tests/program.rs
@@ -570,6 +570,40 @@
     succeeds(&mut sidecar.client().await, &mut pod).await;
 }
 
+/// The operators' fleet has some hundreds of both; nothing of either may be cut at less than a thousand, and all of it
+/// must fit the least memory and descriptors that a deployment gives.
+#[rstest]
+#[tokio::test]
+async fn a_thousand_pods_and_sidecars_fit_and_an_indented_list_of_them_is_followed() {
+    const MANY: usize = 1024;
+    let (mut leaving, mut staying) = (pod().await, pod().await);
+    let peers: Vec<String> = (0..MANY).map(|n| format!("127.0.1.{}:{}", n % 250 + 1, 2000 + n)).collect();
+    let sidecar = Sidecar::start_with(&vec![leaving.address; MANY], |config| {
+        config["limits"] = json!({"cores": 1.0, "memory_mb": 32, "sockets": 256});
+        config["settings"]["fleet_size"] = json!(MANY);
+        config["peers"] = json!(peers);
+    })
+    .await;
+    succeeds(&mut sidecar.client().await, &mut leaving).await;
+    let name = |n: usize| format!("pod-{n}");
+    let entries: Vec<Value> = (0..MANY)
+        .map(|n| match n {
+            700 => entry(&name(n), staying.address, "in_service", 1),
+            _ => entry(&name(n), leaving.address, "terminating", 1),
+        })
+        .collect();
+    let list = json!({"index": 42, "snapshot": true, "endpoints": entries});
+    sidecar.lists(&(serde_json::to_string_pretty(&list).unwrap() + "\n"));
+    sidecar.watch.as_ref().unwrap().written().await;
+    for _ in 0..20 {
+        succeeds(&mut sidecar.client().await, &mut staying).await;
+    }
+    let status = std::fs::read_to_string(format!("/proc/{}/status", sidecar.child.id().unwrap())).unwrap();
+    let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).unwrap();
+    let peak: u64 = peak.trim().trim_end_matches(" kB").parse().unwrap();
+    assert!(peak < 32 << 10, "{peak} kB");
+}
+
 #[rstest]
 #[tokio::test]
 async fn lists_that_came_while_it_stood_still_are_read_before_what_waits_behind_them() {
