--- a/crates/stagepond/src/balance.rs
+++ b/crates/stagepond/src/balance.rs
@@ -648,8 +648,16 @@
     /// few answers a second by chance none is slow, and one alone would then see the spell begin anew.
     fn of_one_spell(&mut self, news: f64) -> f64 {
         self.slowing = self.slowing * 0.8 + news;
-        let early = |t: Told| !self.trial.is_empty() && self.now < t.from + Tenths::ms(7000);
-        let early = self.news().is_some_and(early);
+        if self.slowing < -0.7 {
+            self.well_at = self.now;
+        }
+        // A fleet that was well until the stage's first pods came, still cold, was slowed by something else:
+        // so long it takes until a spell is seen.
+        let by = self.now - Tenths::ms(2000);
+        let worked =
+            |t: Told| self.trial.iter().any(|&p| t.from <= self.pods.born[p] && self.pods.born[p] <= by);
+        let early = |t: Told| self.now < t.from + Tenths::ms(7000) && (self.well_at < by || worked(t));
+        let early = !self.trial.is_empty() && self.news().is_some_and(early);
         self.slow_spell = (self.slowing > 0.0).then(|| self.slow_spell.unwrap_or(early));
         if self.slow_spell == Some(false) {
             news.min(0.0)
--- a/crates/stagepond/src/state.rs
+++ b/crates/stagepond/src/state.rs
@@ -394,6 +394,8 @@
     pub(crate) calm_seconds: f64,
     /// How much the whole fleet has been slowing of late, as all sidecars tell.
     pub(crate) slowing: f64,
+    /// When the whole fleet was last surely not slow.
+    pub(crate) well_at: Tenths,
     /// Whether the fleet is slow, and if so, whether that set in soon after a change of stage.
     pub(crate) slow_spell: Option<bool>,
     /// No pod of an earlier build is left to compare with.
