--- a/crates/stagepond-lab/src/leadership/processes.rs
+++ b/crates/stagepond-lab/src/leadership/processes.rs
@@ -23,9 +23,8 @@
 
 #[path = "../../../../examples/local_environment.rs"]
 mod local_environment;
-#[path = "../../../../examples/mock_server.rs"]
-mod mock_server;
 
+use crate::mock_server;
 use local_environment::LocalEnvironment;
 
 const INSTANCES: usize = 3;
--- a/crates/stagepond-lab/src/lib.rs
+++ b/crates/stagepond-lab/src/lib.rs
@@ -5,6 +5,9 @@
 pub mod clock;
 pub mod faults;
 pub mod leadership;
+#[path = "../../../examples/mock_server.rs"]
+mod mock_server;
 pub mod net;
+pub mod soak;
 pub mod trace;
 pub mod tuf;
--- a/crates/stagepond-lab/src/main.rs
+++ b/crates/stagepond-lab/src/main.rs
@@ -9,6 +9,7 @@
 use stagepond_lab::leadership::measure::{self, Disruption};
 use stagepond_lab::leadership::simulation::Simulation;
 use stagepond_lab::leadership::{model, processes, proof};
+use stagepond_lab::soak::{self, SoakOptions};
 use stagepond_leadership::ids::Tenths;
 use stagepond_leadership::planted::Fault;
 
@@ -70,6 +71,21 @@
         #[arg(long, default_value_t = 1_000_000)]
         targets: usize,
     },
+    /// Restart a sidecar under load again and again, and account for every request
+    Soak {
+        /// Seed of the first run
+        #[arg(long, default_value_t = 1, env = "SEED")]
+        seed: u64,
+        /// Number of runs, each with a seed of its own
+        #[arg(long, default_value_t = 50, env = "SEEDS")]
+        runs: u64,
+        /// Runs at the same time
+        #[arg(long, default_value_t = 3)]
+        parallel: usize,
+        /// Program to test [default: stagepond in the folder of this program]
+        #[arg(long)]
+        program: Option<PathBuf>,
+    },
     /// Run the leadership simulation of one seed and print its events
     ReplayLeadership {
         /// Seed of the simulation
@@ -367,6 +383,20 @@
     exit_code(outcome.broken.is_empty())
 }
 
+fn soak(options: SoakOptions) -> ExitCode {
+    let runtime = tokio::runtime::Runtime::new().expect("the runtime needs threads and descriptors");
+    match runtime.block_on(soak::run_many(options)) {
+        Ok(report) => {
+            report.print();
+            exit_code(report.faults.is_empty() && report.requests > 0)
+        }
+        Err(error) => {
+            eprintln!("soak: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
 fn main() -> ExitCode {
     match CommandLine::parse().command {
         Command::ProveLeadership { seed, runs, threads, program } => {
@@ -375,6 +405,9 @@
         Command::ProveTuf { seed, runs, pairs, program } => prove_tuf(seed, runs, pairs, program),
         Command::MeasureTuf { targets } => measure_tuf(targets),
         Command::MeasureLeadership { runs, large } => measure_leadership(runs, large),
+        Command::Soak { seed, runs, parallel, program } => {
+            soak(SoakOptions { first_seed: seed, runs, parallel, program: program_path(program) })
+        }
         Command::ReplayLeadership { seed, planted, quiet } => replay_leadership(seed, planted, quiet),
     }
 }
--- /dev/null
+++ b/crates/stagepond-lab/src/soak/mod.rs
@@ -0,0 +1,13 @@
+//! Soak of planned restarts: a real sidecar process between mock pods and seeded clients is restarted by
+//! signals again and again, and every request that a client sent in full has to get exactly one answer.
+
+mod account;
+mod client;
+mod environment;
+mod report;
+mod run;
+mod script;
+
+pub use account::{Fault, FaultKind};
+pub use report::Report;
+pub use run::{run_many, SoakOptions};
--- /dev/null
+++ b/crates/stagepond-lab/src/soak/run.rs
@@ -0,0 +1,295 @@
+//! Runs of the soak: starts the services, the sidecar and the clients, sends the signals of the script, and
+//! kills what is still running at the earliest moment that the protocol allows.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::Stdio;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use anyhow::{anyhow, Context, Result};
+use nix::sys::signal::{kill, Signal};
+use nix::unistd::Pid;
+use serde_json::Value;
+use tokio::io::{AsyncBufReadExt, BufReader, Lines};
+use tokio::process::{Child, ChildStderr, Command};
+use tokio::sync::{watch, Semaphore};
+use tokio::task::JoinSet;
+
+use super::account::{Fault, FaultKind, RestartTimes, RunContext};
+use super::client::{run_client, Front, Records};
+use super::environment::Environment;
+use super::report::Report;
+use super::script::{Restart, Script, SignalKind};
+
+/// Longest time limit of the example configuration.
+const LONGEST_TIME_LIMIT: Duration = Duration::from_millis(2000);
+/// SIGKILL follows SIGTERM after the longest time limit and this time (PROTOCOL.md, "Figures").
+const KILL_AFTER_LONGEST_LIMIT: Duration = Duration::from_millis(700);
+/// How long to wait for a sidecar to listen and to become ready.
+const START_TIMEOUT: Duration = Duration::from_secs(10);
+/// How long the last sidecar serves after the last restart.
+const FINAL_SERVING_TIME: Duration = Duration::from_millis(500);
+/// Number of the pod that discovery drains.
+const DRAINED_POD: usize = 2;
+
+/// What to run.
+#[derive(Clone, Debug)]
+pub struct SoakOptions {
+    /// Seed of the first run; later ones have the numbers after it.
+    pub first_seed: u64,
+    /// Number of runs.
+    pub runs: u64,
+    /// Runs at the same time.
+    pub parallel: usize,
+    /// The program `stagepond`.
+    pub program: PathBuf,
+}
+
+/// Runs the soak and returns the results of all runs.
+///
+/// # Errors
+///
+/// Fails if a run can't be carried out: the program does not start, or a signal can't be sent.
+pub async fn run_many(options: SoakOptions) -> Result<Report> {
+    let places = Arc::new(Semaphore::new(options.parallel));
+    let mut runs = JoinSet::new();
+    for seed in options.first_seed..options.first_seed + options.runs {
+        let (places, program) = (places.clone(), options.program.clone());
+        runs.spawn(async move {
+            let _place = places.acquire_owned().await?;
+            run_one(&program, Script::draw(seed)).await.with_context(|| format!("seed {seed}"))
+        });
+    }
+    let mut total = Report::default();
+    while let Some(report) = runs.join_next().await {
+        total.merge(report??);
+    }
+    Ok(total)
+}
+
+/// A sidecar process that listens.
+struct Sidecar {
+    child: Child,
+    address: SocketAddr,
+    log: Lines<BufReader<ChildStderr>>,
+}
+
+impl Sidecar {
+    async fn start(program: &Path, config: &Path) -> Result<Sidecar> {
+        let mut child = Command::new(program)
+            .args(["serve", "--config"])
+            .arg(config)
+            .stderr(Stdio::piped())
+            .kill_on_drop(true)
+            .spawn()
+            .with_context(|| program.display().to_string())?;
+        let log = BufReader::new(child.stderr.take().context("stderr is not piped")?).lines();
+        let unknown = SocketAddr::from(([127, 0, 0, 1], 0));
+        let mut sidecar = Sidecar { child, address: unknown, log };
+        let listening = sidecar.wait_for_log("clients=").await?;
+        let address = listening.split_once("clients=").and_then(|(_, rest)| rest.split(' ').next());
+        sidecar.address = address.context("no address is logged")?.parse()?;
+        Ok(sidecar)
+    }
+
+    async fn wait_for_log(&mut self, text: &str) -> Result<String> {
+        let found = async {
+            while let Some(line) = self.log.next_line().await? {
+                if line.contains(text) {
+                    return Ok(line);
+                }
+            }
+            Err(anyhow!("the sidecar ended before it logged {text:?}"))
+        };
+        tokio::time::timeout(START_TIMEOUT, found).await.with_context(|| format!("no {text:?} in time"))?
+    }
+
+    /// Sends a signal, unless the process has ended.
+    fn signal(&self, signal: SignalKind) -> Result<()> {
+        let signal = match signal {
+            SignalKind::Terminate => Signal::SIGTERM,
+            SignalKind::Hangup => Signal::SIGHUP,
+        };
+        let Some(pid) = self.child.id() else { return Ok(()) };
+        Ok(kill(Pid::from_raw(pid as i32), signal)?)
+    }
+
+    /// Waits for the exit and kills the process at `kill_at`. Returns what was wrong with the exit.
+    async fn wait_for_exit(mut self, kill_at: Instant) -> Result<Option<(FaultKind, String)>> {
+        let mut lines = Vec::new();
+        let exit = async {
+            while let Some(line) = self.log.next_line().await? {
+                lines.push(line);
+            }
+            self.child.wait().await
+        };
+        let status = match tokio::time::timeout_at(kill_at.into(), exit).await {
+            Ok(status) => status?,
+            Err(_) => {
+                self.child.kill().await?;
+                let last = lines.last().cloned().unwrap_or_default();
+                return Ok(Some((FaultKind::Killed, format!("last log line: {last}"))));
+            }
+        };
+        let panicked = lines.iter().find(|line| line.contains("panicked"));
+        Ok(match (status.success(), panicked) {
+            (true, None) => None,
+            (_, line) => Some((FaultKind::Crashed, format!("{status}, {line:?}"))),
+        })
+    }
+}
+
+/// The state of one run.
+struct Run<'a> {
+    program: &'a Path,
+    config_path: PathBuf,
+    config: Value,
+    environment: Environment,
+    front: watch::Sender<Front>,
+    restarts: Vec<RestartTimes>,
+    report: Report,
+    seed: u64,
+}
+
+async fn run_one(program: &Path, script: Script) -> Result<Report> {
+    let environment = Environment::start(script.pods, script.seed).await;
+    let folder = tempfile::tempdir()?;
+    let config_path = folder.path().join("config.json");
+    let config = make_config(&environment)?;
+    std::fs::write(&config_path, config.to_string())?;
+    let mut sidecar = Sidecar::start(program, &config_path).await?;
+    sidecar.wait_for_log("state=Ready").await?;
+    let (front, clients_front) =
+        watch::channel(Front { address: sidecar.address, open: true, finished: false });
+    let mut run = Run {
+        program,
+        config_path,
+        config,
+        environment,
+        front,
+        restarts: Vec::new(),
+        report: Report::of_one_run(),
+        seed: script.seed,
+    };
+    // Successors listen where the first sidecar did.
+    run.config["listen"] = sidecar.address.to_string().into();
+    std::fs::write(&run.config_path, run.config.to_string())?;
+    let script = Arc::new(script);
+    let records = Records::default();
+    let mut clients = JoinSet::new();
+    for number in 0..script.clients {
+        clients.spawn(run_client(script.clone(), number, clients_front.clone(), records.clone()));
+    }
+    for restart in &script.restarts {
+        sidecar = run.restart(sidecar, restart).await?;
+    }
+    tokio::time::sleep(FINAL_SERVING_TIME).await;
+    run.front.send_modify(|front| front.finished = true);
+    while let Some(ended) = clients.join_next().await {
+        ended?;
+    }
+    sidecar.signal(SignalKind::Terminate)?;
+    run.finish(sidecar, &script, records).await
+}
+
+fn make_config(environment: &Environment) -> Result<Value> {
+    let mut config: Value = serde_json::from_str(include_str!("../../../../examples/config.json"))?;
+    config["listen"] = "127.0.0.1:0".into();
+    config["discovery"] = environment.discovery.to_string().into();
+    config["pipeline"]["address"] = environment.platform.to_string().into();
+    config["peer_listen"] = "127.0.0.1:0".into();
+    config["settings"]["classes"][1]["repeat"] = "side_effect".into();
+    config["settings"]["classes"][1]["window_ms"] = 0.0.into();
+    Ok(config)
+}
+
+impl Run<'_> {
+    /// Restarts the sidecar as scripted. Returns its successor once that is ready.
+    async fn restart(&mut self, sidecar: Sidecar, restart: &Restart) -> Result<Sidecar> {
+        tokio::time::sleep(restart.serving_time).await;
+        if restart.drains_pod {
+            self.environment.drain_pod(Some(DRAINED_POD));
+        }
+        let terminated_at = self.stop(sidecar, restart).await?;
+        if let Some(delay) = restart.terminate_successor_after {
+            self.terminate_while_starting(delay).await?;
+        }
+        let mut successor = Sidecar::start(self.program, &self.config_path).await?;
+        if let Err(error) = successor.wait_for_log("state=Ready").await {
+            self.add_fault(FaultKind::NotReady, format!("{error:#}"));
+        }
+        if restart.drains_pod {
+            self.environment.drain_pod(None);
+        }
+        self.restarts.push(RestartTimes { terminated_at, ready_at: Instant::now() });
+        self.front.send_modify(|front| front.open = true);
+        Ok(successor)
+    }
+
+    /// Sends the signals of a restart and waits for the exit. Returns the time of the first SIGTERM.
+    async fn stop(&mut self, sidecar: Sidecar, restart: &Restart) -> Result<Instant> {
+        let mut terminated_at = None;
+        for (pause, signal) in &restart.signals {
+            tokio::time::sleep(*pause).await;
+            if *signal == SignalKind::Terminate && terminated_at.is_none() {
+                terminated_at = Some(Instant::now());
+                self.close_front_after(restart.connect_for);
+            }
+            sidecar.signal(*signal)?;
+        }
+        let terminated_at = terminated_at.context("the script has no SIGTERM")?;
+        let kill_at = terminated_at + LONGEST_TIME_LIMIT + KILL_AFTER_LONGEST_LIMIT;
+        let wrong = sidecar.wait_for_exit(kill_at).await?;
+        self.report.longest_exit = self.report.longest_exit.max(terminated_at.elapsed());
+        self.report.restarts += 1;
+        if let Some((kind, detail)) = wrong {
+            self.add_fault(kind, detail);
+        }
+        Ok(terminated_at)
+    }
+
+    fn close_front_after(&self, delay: Duration) {
+        let front = self.front.clone();
+        tokio::spawn(async move {
+            tokio::time::sleep(delay).await;
+            front.send_modify(|front| front.open = false);
+        });
+    }
+
+    /// Starts a sidecar that is stopped again before clients come to it.
+    async fn terminate_while_starting(&mut self, delay: Duration) -> Result<()> {
+        let sidecar = Sidecar::start(self.program, &self.config_path).await?;
+        tokio::time::sleep(delay).await;
+        sidecar.signal(SignalKind::Terminate)?;
+        let kill_at = Instant::now() + LONGEST_TIME_LIMIT + KILL_AFTER_LONGEST_LIMIT;
+        if let Some((kind, detail)) = sidecar.wait_for_exit(kill_at).await? {
+            self.add_fault(kind, format!("while starting: {detail}"));
+        }
+        Ok(())
+    }
+
+    async fn finish(mut self, sidecar: Sidecar, script: &Script, records: Records) -> Result<Report> {
+        let kill_at = Instant::now() + LONGEST_TIME_LIMIT + KILL_AFTER_LONGEST_LIMIT;
+        if let Some((kind, detail)) = sidecar.wait_for_exit(kill_at).await? {
+            self.add_fault(kind, format!("at the end: {detail}"));
+        }
+        let orders = self.environment.orders.lock().expect("no holder of the lock panics");
+        let context = RunContext {
+            seed: self.seed,
+            well_pods: script.pods.is_well(),
+            restarts: &self.restarts,
+            orders: &orders,
+        };
+        for record in records.lock().expect("no holder of the lock panics").iter() {
+            self.report.add(record, context.restart_of(record).is_some());
+            self.report.faults.extend(context.check(record));
+        }
+        drop(orders);
+        Ok(self.report)
+    }
+
+    fn add_fault(&mut self, kind: FaultKind, detail: String) {
+        self.report.faults.push(Fault { kind, seed: self.seed, detail });
+    }
+}
--- /dev/null
+++ b/crates/stagepond-lab/src/soak/script.rs
@@ -0,0 +1,153 @@
+//! What happens in one run of the soak, drawn from its seed before the run starts.
+
+use std::time::Duration;
+
+/// Numbers of clients; the last one exceeds the connection limit of the sidecar under test.
+const CLIENT_COUNTS: [usize; 4] = [1, 40, 300, 600];
+/// Probability of each of [`CLIENT_COUNTS`], in percent. Large runs take the most processor time.
+const CLIENT_COUNT_PERCENT: [u32; 4] = [10, 45, 30, 15];
+/// Longest time between a connection and its first request.
+const MAX_FIRST_REQUEST_DELAY_MS: u64 = 200;
+/// Restarts of the sidecar in one run.
+const RESTARTS: usize = 3;
+/// Mean pause of a client between an answer and its next request, for one client.
+const THINK_TIME: Duration = Duration::from_millis(100);
+/// Added to [`THINK_TIME`] for each client of the run, so that large runs do not overload the machine.
+const THINK_TIME_PER_CLIENT: Duration = Duration::from_micros(200);
+/// Share of requests that clients send in two pieces, in the runs that have such requests.
+const SPLIT_SHARE: f64 = 1.0 / 15.0;
+/// Most signals of one restart.
+const MAX_SIGNALS: usize = 6;
+/// Longest pause between two signals of one restart.
+const MAX_SIGNAL_PAUSE_MS: u64 = 200;
+/// How long clients may go on connecting after SIGTERM (PROTOCOL.md, "Figures").
+const CONNECT_AFTER_SIGTERM_MS: std::ops::RangeInclusive<u64> = 200..=400;
+
+/// A signal that the sidecar gets.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SignalKind {
+    /// SIGTERM.
+    Terminate,
+    /// SIGHUP.
+    Hangup,
+}
+
+/// One restart of the sidecar.
+#[derive(Clone, Debug)]
+pub struct Restart {
+    /// How long the sidecar serves before the first signal.
+    pub serving_time: Duration,
+    /// The signals, each with the pause before it. At least one is SIGTERM.
+    pub signals: Vec<(Duration, SignalKind)>,
+    /// How long after the first SIGTERM clients still open connections.
+    pub connect_for: Duration,
+    /// Whether discovery lists a pod as terminating from the first signal until the successor is ready.
+    pub drains_pod: bool,
+    /// SIGTERM for the successor this long after it listens, before the one that serves on is started.
+    pub terminate_successor_after: Option<Duration>,
+}
+
+/// How pods treat invocations: the percentage of each treatment, drawn for each invocation. The rest is
+/// answered after 1 ms.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct PodMix {
+    /// Answered after 100 ms.
+    pub slow_percent: u32,
+    /// Answered after 1.5 s.
+    pub very_slow_percent: u32,
+    /// Never answered.
+    pub hang_percent: u32,
+    /// The connection is reset.
+    pub reset_percent: u32,
+}
+
+impl PodMix {
+    /// Whether every invocation is answered at once.
+    pub fn is_well(&self) -> bool {
+        self.slow_percent + self.very_slow_percent + self.hang_percent + self.reset_percent == 0
+    }
+}
+
+/// The script of one run.
+#[derive(Clone, Debug)]
+pub struct Script {
+    /// Seed that the script was drawn from; clients and pods draw from it too.
+    pub seed: u64,
+    /// Number of clients, each with one connection.
+    pub clients: usize,
+    /// Whether all clients connect in the same moment.
+    pub crowd: bool,
+    /// A new connection's first request is sent within this time, by clients that are busy.
+    pub first_request_delay: Duration,
+    /// Mean pause of a client between two requests.
+    pub think_time: Duration,
+    /// Share of requests sent in two pieces.
+    pub split_share: f64,
+    /// How pods treat invocations.
+    pub pods: PodMix,
+    /// The restarts in order.
+    pub restarts: Vec<Restart>,
+}
+
+impl Script {
+    /// Draws the script of a seed.
+    pub fn draw(seed: u64) -> Script {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let clients = draw_client_count(&mut rng);
+        Script {
+            seed,
+            clients,
+            crowd: rng.bool(),
+            first_request_delay: Duration::from_millis(if rng.bool() {
+                MAX_FIRST_REQUEST_DELAY_MS
+            } else {
+                0
+            }),
+            think_time: THINK_TIME + THINK_TIME_PER_CLIENT * clients as u32,
+            split_share: if rng.bool() { SPLIT_SHARE } else { 0.0 },
+            pods: draw_pod_mix(&mut rng),
+            restarts: (0..RESTARTS).map(|_| draw_restart(&mut rng)).collect(),
+        }
+    }
+}
+
+fn draw_client_count(rng: &mut fastrand::Rng) -> usize {
+    let mut percent = rng.u32(0..100);
+    for (count, share) in CLIENT_COUNTS.into_iter().zip(CLIENT_COUNT_PERCENT) {
+        if percent < share {
+            return count;
+        }
+        percent -= share;
+    }
+    CLIENT_COUNTS[0]
+}
+
+fn draw_pod_mix(rng: &mut fastrand::Rng) -> PodMix {
+    if rng.bool() {
+        return PodMix::default();
+    }
+    PodMix {
+        slow_percent: rng.u32(0..=20),
+        very_slow_percent: rng.u32(0..=5),
+        hang_percent: rng.u32(0..=3),
+        reset_percent: rng.u32(0..=3),
+    }
+}
+
+fn draw_restart(rng: &mut fastrand::Rng) -> Restart {
+    let mut signals: Vec<(Duration, SignalKind)> = (0..rng.usize(1..=MAX_SIGNALS))
+        .map(|_| {
+            let kind = if rng.bool() { SignalKind::Terminate } else { SignalKind::Hangup };
+            (Duration::from_millis(rng.u64(0..=MAX_SIGNAL_PAUSE_MS)), kind)
+        })
+        .collect();
+    let terminated = rng.usize(0..signals.len());
+    signals[terminated].1 = SignalKind::Terminate;
+    Restart {
+        serving_time: Duration::from_millis(rng.u64(500..=1500)),
+        signals,
+        connect_for: Duration::from_millis(rng.u64(CONNECT_AFTER_SIGTERM_MS)),
+        drains_pod: rng.bool(),
+        terminate_successor_after: (rng.u32(0..4) == 0).then(|| Duration::from_millis(rng.u64(0..=100))),
+    }
+}
