--- a/crates/stagepond-sidecar/src/event_loop.rs
+++ b/crates/stagepond-sidecar/src/event_loop.rs
@@ -12,7 +12,7 @@
 
 use crate::config::SidecarConfig;
 use crate::discovery;
-use crate::frontend::{self, Frontend, Operations};
+use crate::frontend::{self, Frontend};
 use crate::leadership::{LeadershipController, LeadershipEvent};
 use crate::lifecycle::State;
 use crate::messages::*;
@@ -20,6 +20,7 @@
 use crate::platform::{self, VoteRequest};
 use crate::pods::PodClient;
 use crate::reducer::{OptionalParts, Reducer};
+use crate::request_head::{Operations, REQUEST_ID_HEADER};
 use crate::state_files;
 use crate::verification::{ResponseVerifier, VerificationEvent};
 
@@ -258,7 +259,7 @@
 fn trace_effect(effect: &Effect) {
     match effect {
         Effect::Dispatch { id, request, to, timeout } => {
-            let request_id = request.headers.get(frontend::REQUEST_ID_HEADER);
+            let request_id = request.headers.get(REQUEST_ID_HEADER);
             let request_id = request_id.and_then(|id| id.to_str().ok()).unwrap_or_default();
             tracing::debug!(event = "dispatch", id = request_id, dispatch = id.0, %to, wait = timeout.0, "inv");
         }
--- a/crates/stagepond-sidecar/src/lib.rs
+++ b/crates/stagepond-sidecar/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod reducer;
 #[cfg(test)]
 mod reducer_tests;
+pub mod request_head;
 pub mod state_files;
 pub mod stream;
 pub mod verification;
