--- a/crates/stagepond-facts/src/lib.rs
+++ b/crates/stagepond-facts/src/lib.rs
@@ -108,13 +108,16 @@
         .iter()
         .position(|zone| zone == own_zone)
         .ok_or_else(|| anyhow!("settings: /zone is {own_zone:?}, which is not in /zones"))?;
+    let classes = list_at(settings, "/classes")?;
+    let time_limits_ms = classes.iter().filter_map(|class| class.pointer("/deadline_ms")?.as_f64());
     let initial_cap = list_at(settings, "/family_info/caps")?.first().and_then(Value::as_f64).unwrap_or(0.0);
     let facts = Facts {
         own_peer: Peer(number("/self_index")? as usize),
         sidecar_count: number("/fleet_size")? as usize,
         zone: Zone(zone),
         machine_kinds: machine_kinds.len(),
-        operations: list_at(settings, "/classes")?.iter().map(parse_operation).collect::<Result<_>>()?,
+        operations: classes.iter().map(parse_operation).collect::<Result<_>>()?,
+        longest_time_limit: Tenths::floor_ms(time_limits_ms.fold(0.0, f64::max)),
         billed_value_per_work: string("/worth_by")? == "work",
         max_dispatches: number("/bounds/max_attempts")? as usize,
         parallel_dispatches: boolean("/bounds/parallel_tries")?,
--- /dev/null
+++ b/crates/stagepond-sidecar/src/client_connections.rs
@@ -0,0 +1,235 @@
+//! The registry of client connections: what is known of each, and which of them are to end when places or
+//! time run out. It touches no socket: the task that serves a connection carries out its [`CloseSignals`].
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use stagepond::host::Tenths;
+use tokio::sync::Notify;
+
+use crate::connection::ConnectionTrace;
+
+/// How long a client may take to send one whole message. An invocation is 64 KiB at most and comes from the
+/// same data centre; a connection that takes longer, or that was opened and sent nothing, holds a descriptor
+/// that others need.
+const MESSAGE_READ_TIMEOUT: Tenths = Tenths::ms(2300);
+/// A client that keeps its connection may rely on it for this long between two invocations.
+const MIN_KEEP_ALIVE: Tenths = Tenths::ms(2000);
+/// Age from which a connection without an invocation may be evicted at the limit. Clients send as soon as
+/// they are connected; without this grace period new connections would evict each other in a burst.
+pub const NEW_CONNECTION_GRACE: Tenths = Tenths::ms(50);
+/// Share of the connection limit above which idle connections are closed before their places are needed.
+const HIGH_LOAD_SHARE: f64 = 0.75;
+/// Share of the connection limit above which every answer closes its connection. A client that has just been
+/// answered may stay idle for 2 s, and places held for that long would admit fewer clients than arrive.
+const NEAR_LIMIT_SHARE: f64 = 0.9;
+
+/// Number of a client connection, in the order of acceptance.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ConnectionId(pub u64);
+
+/// How the task that serves a connection is to end it.
+#[derive(Default)]
+pub struct CloseSignals {
+    /// Close unless a request is in progress or has arrived unread.
+    pub if_idle: Notify,
+    /// Close at once.
+    pub immediate: Notify,
+}
+
+/// State of one client connection.
+struct ClientConnection {
+    opened_at: Tenths,
+    /// Since when the connection has been idle; `None` while one of its invocations is open.
+    idle_since: Option<Tenths>,
+    /// Number of complete invocations received on this connection.
+    invocations: u64,
+    /// Number of requests that have been answered.
+    answered: u64,
+    /// Whether the client has asked for `/ready`. Such a connection is not cut for being silent, but at the
+    /// limit it does not keep other clients out either.
+    asked_ready: bool,
+    trace: ConnectionTrace,
+    signals: Arc<CloseSignals>,
+}
+
+impl ClientConnection {
+    fn has_been_used(&self) -> bool {
+        self.invocations > 0 || self.asked_ready
+    }
+
+    /// When the time limit for sending a whole message ends. A connection is never cut while its invocation
+    /// is open, nor between two messages once it has sent one.
+    fn read_deadline(&self) -> Tenths {
+        if self.idle_since.is_none() {
+            return Tenths::NEVER;
+        }
+        match self.trace.message_begun_at() {
+            _ if !self.has_been_used() => self.opened_at + MESSAGE_READ_TIMEOUT,
+            Some(begun_at) => begun_at + MESSAGE_READ_TIMEOUT,
+            None => Tenths::NEVER,
+        }
+    }
+
+    fn is_idle(&self) -> bool {
+        self.idle_since.is_some() && self.trace.is_between_requests(self.answered)
+    }
+
+    /// Whether the connection has been idle for so long that its client can't count on it any more.
+    fn is_past_keep_alive(&self, now: Tenths) -> bool {
+        self.has_been_used() && self.idle_since.is_some_and(|since| now >= since + MIN_KEEP_ALIVE)
+    }
+
+    /// Whether the connection may make room at the limit although it was never idle for long.
+    fn is_evictable(&self, now: Tenths) -> bool {
+        self.invocations == 0 && self.idle_since.is_some() && now >= self.opened_at + NEW_CONNECTION_GRACE
+    }
+}
+
+/// Counts of the connections at the limit, for the log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ConnectionCounts {
+    /// All connections.
+    pub all: usize,
+    /// Connections that have sent an invocation.
+    pub used: usize,
+    /// Connections with an open invocation.
+    pub open: usize,
+}
+
+/// All client connections.
+pub struct ClientConnections {
+    connections: BTreeMap<ConnectionId, ClientConnection>,
+    max_connections: usize,
+    last_id: u64,
+}
+
+impl ClientConnections {
+    /// An empty registry with room for this many connections.
+    pub fn new(max_connections: usize) -> ClientConnections {
+        ClientConnections { connections: BTreeMap::new(), max_connections, last_id: 0 }
+    }
+
+    /// Adds a connection that has just been accepted.
+    pub fn add(&mut self, now: Tenths, trace: ConnectionTrace, signals: Arc<CloseSignals>) -> ConnectionId {
+        self.last_id += 1;
+        let id = ConnectionId(self.last_id);
+        let connection = ClientConnection {
+            opened_at: now,
+            idle_since: Some(now),
+            invocations: 0,
+            answered: 0,
+            asked_ready: false,
+            trace,
+            signals,
+        };
+        self.connections.insert(id, connection);
+        id
+    }
+
+    /// Removes a connection that has ended.
+    pub fn remove(&mut self, id: ConnectionId) {
+        self.connections.remove(&id);
+    }
+
+    /// Whether there is no connection.
+    pub fn is_empty(&self) -> bool {
+        self.connections.is_empty()
+    }
+
+    /// Whether another connection may be accepted.
+    pub fn has_room(&self) -> bool {
+        self.connections.len() < self.max_connections
+    }
+
+    /// Counts for the log.
+    pub fn counts(&self) -> ConnectionCounts {
+        ConnectionCounts {
+            all: self.connections.len(),
+            used: self.connections.values().filter(|c| c.invocations > 0).count(),
+            open: self.connections.values().filter(|c| c.idle_since.is_none()).count(),
+        }
+    }
+
+    /// Records that a whole invocation has been received.
+    pub fn on_invocation(&mut self, id: ConnectionId) {
+        if let Some(connection) = self.connections.get_mut(&id) {
+            connection.idle_since = None;
+            connection.invocations += 1;
+        }
+    }
+
+    /// Records that the invocation of this connection has got its answer.
+    pub fn on_answered(&mut self, id: ConnectionId, now: Tenths) {
+        if let Some(connection) = self.connections.get_mut(&id) {
+            connection.idle_since = Some(now);
+            connection.answered += 1;
+        }
+    }
+
+    /// Records an answered readiness check.
+    pub fn on_ready_asked(&mut self, id: ConnectionId, now: Tenths) {
+        if let Some(connection) = self.connections.get_mut(&id) {
+            connection.asked_ready = true;
+        }
+        self.on_answered(id, now);
+    }
+
+    /// Whether no request is in progress on the connection and none has arrived unread. It looks at the
+    /// socket, so that a close right after it can cross only what arrives in between.
+    pub fn is_idle(&self, id: ConnectionId) -> bool {
+        self.connections.get(&id).is_some_and(ClientConnection::is_idle)
+    }
+
+    fn high_load_threshold(&self) -> usize {
+        (self.max_connections as f64 * HIGH_LOAD_SHARE) as usize
+    }
+
+    /// Whether the next answer on this connection closes it, to leave room. Above [`HIGH_LOAD_SHARE`] that
+    /// holds for clients that have sent a single invocation, since most of those never send another; above
+    /// [`NEAR_LIMIT_SHARE`] for all.
+    pub fn closes_after_answer(&self, id: ConnectionId) -> bool {
+        let count = self.connections.len();
+        count as f64 > self.max_connections as f64 * NEAR_LIMIT_SHARE
+            || count > self.high_load_threshold()
+                && self.connections.get(&id).is_some_and(|c| c.invocations < 2)
+    }
+
+    /// Asks one connection to end: the oldest that has never sent an invocation, because any process may have
+    /// opened it, or else the one that has been idle longest. The connections in the accept queue may have
+    /// sent their invocations already.
+    pub fn make_room(&self, now: Tenths) {
+        let evictable = self.connections.values().filter(|c| c.is_evictable(now));
+        match evictable.min_by_key(|c| c.opened_at) {
+            Some(connection) => connection.signals.immediate.notify_one(),
+            None => self.close_longest_idle(1, now),
+        }
+    }
+
+    /// Asks every idle connection to end.
+    pub fn close_idle(&self) {
+        self.connections.values().for_each(|c| c.signals.if_idle.notify_one());
+    }
+
+    /// Cuts the connections that have not sent a whole message in time, and closes idle ones above
+    /// [`HIGH_LOAD_SHARE`].
+    pub fn sweep(&self, now: Tenths) {
+        self.connections
+            .values()
+            .filter(|c| c.read_deadline() <= now)
+            .for_each(|c| c.signals.immediate.notify_one());
+        self.close_longest_idle(self.connections.len().saturating_sub(self.high_load_threshold()), now);
+    }
+
+    /// Asks up to `max_closed` connections that have been idle for at least [`MIN_KEEP_ALIVE`] to end, longest
+    /// idle first.
+    fn close_longest_idle(&self, max_closed: usize, now: Tenths) {
+        if max_closed == 0 {
+            return;
+        }
+        let mut idle: Vec<&ClientConnection> =
+            self.connections.values().filter(|c| c.is_past_keep_alive(now)).collect();
+        idle.sort_by_key(|c| c.idle_since);
+        idle.into_iter().take(max_closed).for_each(|c| c.signals.if_idle.notify_one());
+    }
+}
--- a/crates/stagepond-sidecar/src/connection.rs
+++ b/crates/stagepond-sidecar/src/connection.rs
@@ -83,11 +83,18 @@
     begun_at: Option<Tenths>,
     /// Number of fields in the last head that give the length of the body.
     length_fields: usize,
+    /// Number of messages received in full.
+    completed: u64,
 }
 
 impl Default for IncomingMessages {
     fn default() -> IncomingMessages {
-        IncomingMessages { state: ReadState::Head(Vec::new()), begun_at: None, length_fields: 0 }
+        IncomingMessages {
+            state: ReadState::Head(Vec::new()),
+            begun_at: None,
+            length_fields: 0,
+            completed: 0,
+        }
     }
 }
 
@@ -136,6 +143,7 @@
     fn expect_next_message(&mut self) {
         self.state = ReadState::Head(Vec::new());
         self.begun_at = None;
+        self.completed += 1;
     }
 }
 
@@ -163,6 +171,14 @@
     incoming: Option<IncomingMessages>,
 }
 
+impl TraceState {
+    /// Whether the connection is open, and neither unread bytes nor its end have been received.
+    fn has_nothing_to_read(&self) -> bool {
+        let peek = |stream: &Arc<TcpStream>| recv(stream.as_raw_fd(), &mut [0], MsgFlags::MSG_PEEK);
+        self.stream.as_ref().map(peek) == Some(Err(Errno::EAGAIN))
+    }
+}
+
 /// What is known of one connection, readable by code that holds neither end of it.
 ///
 /// A trace follows one connection at a time; a later connection with the same trace takes the place of an
@@ -203,6 +219,15 @@
         self.state().incoming.as_ref().and_then(|incoming| incoming.begun_at)
     }
 
+    /// Whether the connection is between two requests: every request received in full is among the `answered`
+    /// ones, none has begun, and none waits in the socket.
+    pub fn is_between_requests(&self, answered: u64) -> bool {
+        let state = self.state();
+        let none_received =
+            state.incoming.as_ref().is_some_and(|i| i.begun_at.is_none() && i.completed == answered);
+        none_received && state.has_nothing_to_read()
+    }
+
     /// When bytes were last received.
     pub fn last_received_at(&self) -> Tenths {
         self.state().last_received_at
@@ -222,8 +247,7 @@
     /// bytes nor its end have been received. Bytes received before a request would be taken for its answer.
     pub fn is_reusable(&self) -> bool {
         let state = self.state();
-        let peek = |stream: &Arc<TcpStream>| recv(stream.as_raw_fd(), &mut [0], MsgFlags::MSG_PEEK);
-        !state.shut_down && !state.retired && state.stream.as_ref().map(peek) == Some(Err(Errno::EAGAIN))
+        !state.shut_down && !state.retired && state.has_nothing_to_read()
     }
 
     /// Shuts the connection down immediately, before this returns, and makes any later connection with this
--- a/crates/stagepond-sidecar/src/event_loop.rs
+++ b/crates/stagepond-sidecar/src/event_loop.rs
@@ -190,7 +190,8 @@
                             frontend.set_ready(false);
                             frontend.begin_leaving();
                         }
-                        State::Draining => frontend.close_connections(),
+                        State::Draining => {}
+                        State::Closing => frontend.close_idle_connections(),
                         State::Stopped => return Ok(()),
                     }
                 }
--- a/crates/stagepond-sidecar/src/frontend.rs
+++ b/crates/stagepond-sidecar/src/frontend.rs
@@ -5,7 +5,7 @@
 //! program shuts down. It owns the client connections and the answers that are still pending on them. Once it
 //! has reported an invocation to the reducer, only the reducer decides the answer.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -27,6 +27,9 @@
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{mpsc, oneshot, Notify};
 
+use crate::client_connections::{
+    ClientConnections, CloseSignals, ConnectionCounts, ConnectionId, NEW_CONNECTION_GRACE,
+};
 use crate::connection::{ConnectionTrace, TracedConnection, MAX_HEAD_BYTES};
 use crate::messages::*;
 use crate::request_head::{bad_request, check_head, Operations};
@@ -37,24 +40,8 @@
 /// Pause after a failed accept, which mostly means that no file descriptor is free. The next connection that
 /// closes frees one; without the pause the accept loop would spin until then.
 const ACCEPT_RETRY_DELAY: std::time::Duration = std::time::Duration::from_millis(5);
-/// How long a connection that is being closed may take to finish sending an invocation that it has begun.
-const CLOSING_READ_TIMEOUT: Tenths = Tenths::ms(500);
-/// How long a client may take to send one whole message. An invocation is 64 KiB at most and comes from the
-/// same data centre; a connection that takes longer, or that was opened and sent nothing, holds a descriptor
-/// that others need.
-const MESSAGE_READ_TIMEOUT: Tenths = Tenths::ms(2300);
 /// Interval between two checks of all connections for timeouts.
 const SWEEP_INTERVAL: Tenths = Tenths::ms(200);
-/// A client that keeps its connection may rely on it for this long between two invocations.
-const MIN_KEEP_ALIVE: Tenths = Tenths::ms(2000);
-/// Age from which a connection without an invocation may be evicted at the limit. Clients send as soon as
-/// they are connected; without this grace period new connections would evict each other in a burst.
-const NEW_CONNECTION_GRACE: Tenths = Tenths::ms(50);
-/// Share of the connection limit above which idle connections are closed before their places are needed.
-const HIGH_LOAD_SHARE: f64 = 0.75;
-/// Share of the connection limit above which every answer closes its connection. A client that has just been
-/// answered may stay idle for 2 s, and places held for that long would admit fewer clients than arrive.
-const NEAR_LIMIT_SHARE: f64 = 0.9;
 /// The most memory that one connection holds: its read buffer and one body.
 pub const MAX_CONNECTION_BYTES: usize = MAX_HEAD_BYTES + MAX_BODY_BYTES;
 
@@ -73,55 +60,6 @@
     HeaderName::from_static("keep-alive"),
 ];
 
-/// State of one client connection.
-struct ClientConnection {
-    opened_at: Tenths,
-    /// Since when the connection has been idle; `None` while one of its invocations is open.
-    idle_since: Option<Tenths>,
-    /// Number of complete invocations received on this connection.
-    invocations: u64,
-    /// Whether the client has asked for `/ready`. Such a connection is not cut for being silent, but at the
-    /// limit it does not keep other clients out either.
-    asked_ready: bool,
-    closing: bool,
-    trace: ConnectionTrace,
-    signals: Arc<CloseSignals>,
-}
-
-/// How the task that serves a connection is to end it.
-#[derive(Default)]
-struct CloseSignals {
-    /// Close once the message in progress has been answered.
-    graceful: Notify,
-    /// Close at once.
-    immediate: Notify,
-}
-
-impl ClientConnection {
-    /// When the time limit for sending a whole message ends. A connection is never cut while its invocation is open,
-    /// nor between two messages once it has sent one.
-    fn read_deadline(&self) -> Tenths {
-        let Some(idle_since) = self.idle_since else { return Tenths::NEVER };
-        let has_been_used = self.invocations > 0 || self.asked_ready;
-        let message_deadline = match self.trace.message_begun_at() {
-            Some(begun_at) if has_been_used => begun_at + MESSAGE_READ_TIMEOUT,
-            None if has_been_used => Tenths::NEVER,
-            _ => self.opened_at + MESSAGE_READ_TIMEOUT,
-        };
-        let closing_deadline = idle_since.max(self.trace.last_received_at()) + CLOSING_READ_TIMEOUT;
-        if self.closing {
-            message_deadline.min(closing_deadline)
-        } else {
-            message_deadline
-        }
-    }
-
-    fn close(&mut self) {
-        self.closing = true;
-        self.signals.graceful.notify_one();
-    }
-}
-
 /// The HTTP server for clients.
 pub struct Frontend {
     operations: Operations,
@@ -131,8 +69,7 @@
     leaving: AtomicBool,
     next_number: AtomicU64,
     pending_answers: Mutex<HashMap<InvocationNumber, oneshot::Sender<FinalAnswer>>>,
-    connections: Mutex<BTreeMap<u64, ClientConnection>>,
-    max_connections: usize,
+    connections: Mutex<ClientConnections>,
     /// Notified when a connection has closed or become idle.
     connections_changed: Notify,
     close_listener: Notify,
@@ -142,7 +79,7 @@
 /// What the request handlers know of the connection that a request came on.
 #[derive(Clone)]
 struct ConnectionHandle {
-    id: u64,
+    id: ConnectionId,
     trace: ConnectionTrace,
 }
 
@@ -159,15 +96,14 @@
             leaving: AtomicBool::new(false),
             next_number: AtomicU64::new(1),
             pending_answers: Mutex::default(),
-            connections: Mutex::default(),
-            max_connections,
+            connections: Mutex::new(ClientConnections::new(max_connections)),
             connections_changed: Notify::new(),
             close_listener: Notify::new(),
             warnings: RateLimitedLog::default(),
         })
     }
 
-    fn connections(&self) -> MutexGuard<'_, BTreeMap<u64, ClientConnection>> {
+    fn connections(&self) -> MutexGuard<'_, ClientConnections> {
         self.connections.lock().expect("no holder of the lock panics")
     }
 
@@ -189,16 +125,15 @@
         self.ready.store(ready, Ordering::Relaxed);
     }
 
-    /// Starts the shutdown: closes idle connections at once and the others after their answers. The listener
-    /// stays open for clients whose request crosses the close of their connection.
+    /// Starts the shutdown: from now on every answer closes its connection. Connections without an answer stay
+    /// open, because their clients go on using them, and the listener stays open for new ones.
     pub fn begin_leaving(&self) {
         self.leaving.store(true, Ordering::Relaxed);
-        self.close_connections();
     }
 
-    /// Closes each connection as soon as its message in progress has been answered.
-    pub fn close_connections(&self) {
-        self.connections().values_mut().for_each(ClientConnection::close);
+    /// Closes the connections on which no request is in progress or has arrived.
+    pub fn close_idle_connections(&self) {
+        self.connections().close_idle();
     }
 
     /// Accepts the connections that already wait in the queue, then closes the listener and reports
@@ -235,7 +170,6 @@
             .route("/{operation}", any(invoke))
             .route("/{operation}/{*rest}", any(invoke))
             .with_state(self.clone());
-        let mut connection_id = 0;
         loop {
             self.wait_for_room().await;
             let accepted = tokio::select! {
@@ -244,8 +178,7 @@
             };
             match accepted {
                 Ok((stream, _)) => {
-                    connection_id += 1;
-                    self.clone().serve_connection(connection_id, stream, router.clone());
+                    self.clone().serve_connection(stream, router.clone());
                 }
                 Err(error) => {
                     self.warnings.warn(format_args!("accept: {error}"));
@@ -264,8 +197,7 @@
             });
             match accepted {
                 Ok(stream) => {
-                    connection_id += 1;
-                    self.clone().serve_connection(connection_id, stream, router.clone());
+                    self.clone().serve_connection(stream, router.clone());
                 }
                 Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => break,
                 Err(error) => {
@@ -279,26 +211,14 @@
         self.report_if_empty();
     }
 
-    /// Whether another connection may be accepted. At the limit it asks one connection to end: the oldest
-    /// that has never sent an invocation, because any process may have opened it, or else the one that has been
-    /// idle longest. The connections in the accept queue may have sent their invocations already.
+    /// Whether another connection may be accepted. At the limit it asks one connection to end.
     fn try_make_room(&self) -> bool {
-        let mut connections = self.connections();
-        if connections.len() < self.max_connections {
+        let connections = self.connections();
+        if connections.has_room() {
             return true;
         }
-        let now = self.clock.now();
-        let unused = |c: &&ClientConnection| {
-            c.invocations == 0 && c.idle_since.is_some() && now >= c.opened_at + NEW_CONNECTION_GRACE
-        };
-        let oldest_unused = connections.values().filter(unused).min_by_key(|c| c.opened_at);
-        match oldest_unused {
-            Some(connection) => connection.signals.immediate.notify_one(),
-            None => close_idle(&mut connections, 1, now),
-        }
-        let open = connections.values().filter(|c| c.idle_since.is_none()).count();
-        let used = connections.values().filter(|c| c.invocations > 0).count();
-        let all = connections.len();
+        connections.make_room(self.clock.now());
+        let ConnectionCounts { all, used, open } = connections.counts();
         self.warnings.warn(format_args!(
             "clients: {all} is the bound; {used} have sent an invocation, {open} have one open"
         ));
@@ -316,8 +236,7 @@
         }
     }
 
-    /// Cuts connections that have not sent a whole message in time, and closes idle ones above
-    /// [`HIGH_LOAD_SHARE`].
+    /// Checks all connections for timeouts at regular intervals.
     async fn sweep_connections(self: Arc<Frontend>) {
         let mut last_sweep = self.clock.now();
         loop {
@@ -329,37 +248,19 @@
             if was_paused {
                 continue;
             }
-            let mut connections = self.connections();
-            connections
-                .values()
-                .filter(|c| c.read_deadline() <= now)
-                .for_each(|c| c.signals.immediate.notify_one());
-            let excess = connections.len().saturating_sub(self.high_load_threshold());
-            close_idle(&mut connections, excess, now);
+            self.connections().sweep(now);
         }
     }
 
-    fn serve_connection(self: Arc<Frontend>, id: u64, stream: TcpStream, router: Router) {
+    fn serve_connection(self: Arc<Frontend>, stream: TcpStream, router: Router) {
         let signals = Arc::new(CloseSignals::default());
-        let now = self.clock.now();
         let trace = ConnectionTrace::for_incoming_messages();
-        let connection = ClientConnection {
-            opened_at: now,
-            idle_since: Some(now),
-            invocations: 0,
-            asked_ready: false,
-            closing: false,
-            trace: trace.clone(),
-            signals: signals.clone(),
-        };
-        self.connections().insert(id, connection);
+        let id = self.connections().add(self.clock.now(), trace.clone(), signals.clone());
         tokio::spawn(async move {
             if let Ok(stream) = TracedConnection::new(stream, trace.clone(), self.clock) {
                 let router = router.layer(Extension(ConnectionHandle { id, trace }));
                 let mut builder = http1::Builder::new();
-                // A connection accepted during the shutdown may still carry the one invocation it was opened
-                // for.
-                builder.keep_alive(!self.leaving.load(Ordering::Relaxed)).max_buf_size(MAX_HEAD_BYTES);
+                builder.max_buf_size(MAX_HEAD_BYTES);
                 let serving = builder.serve_connection(stream, TowerToHyperService::new(router));
                 tokio::pin!(serving);
                 loop {
@@ -369,12 +270,13 @@
                         biased;
                         // The result is ignored: handlers report what the end means for an open invocation.
                         _ = &mut serving => break,
-                        () = signals.graceful.notified() => serving.as_mut().graceful_shutdown(),
                         () = signals.immediate.notified() => break,
+                        // The connection is dropped right after the look at its socket.
+                        () = signals.if_idle.notified() => if self.connections().is_idle(id) { break },
                     }
                 }
             }
-            self.connections().remove(&id);
+            self.connections().remove(id);
             self.connections_changed.notify_one();
             self.report_if_empty();
         });
@@ -387,59 +289,17 @@
         }
     }
 
-    fn high_load_threshold(&self) -> usize {
-        (self.max_connections as f64 * HIGH_LOAD_SHARE) as usize
-    }
-
-    /// Whether the next answer on this connection closes it. Above [`HIGH_LOAD_SHARE`] that holds for clients
-    /// that have sent a single invocation, since most of those never send another; above [`NEAR_LIMIT_SHARE`]
-    /// for all.
-    fn closes_after_answer(&self, connection_id: u64) -> bool {
-        let connections = self.connections();
-        let near_limit = connections.len() as f64 > self.max_connections as f64 * NEAR_LIMIT_SHARE;
-        near_limit
-            || connections.len() > self.high_load_threshold()
-                && connections.get(&connection_id).is_some_and(|c| c.invocations < 2)
-    }
-
-    /// Marks a connection as idle, or as having received another invocation.
-    fn set_idle(&self, connection_id: u64, idle: bool) {
-        let since = idle.then(|| self.clock.now());
-        if let Some(connection) = self.connections().get_mut(&connection_id) {
-            connection.idle_since = since;
-            connection.invocations += u64::from(!idle);
-        }
-        if idle {
-            self.connections_changed.notify_one();
-        }
-    }
-}
-
-/// Closes up to `max_closed` connections that have been idle for at least [`MIN_KEEP_ALIVE`], longest idle
-/// first.
-fn close_idle(connections: &mut BTreeMap<u64, ClientConnection>, max_closed: usize, now: Tenths) {
-    if max_closed == 0 {
-        return;
+    /// Whether the next answer on this connection closes it.
+    fn closes_after_answer(&self, id: ConnectionId) -> bool {
+        self.leaving.load(Ordering::Relaxed) || self.connections().closes_after_answer(id)
     }
-    let is_closable = |c: &&mut ClientConnection| {
-        (c.invocations > 0 || c.asked_ready)
-            && !c.closing
-            && c.idle_since.is_some_and(|since| now >= since + MIN_KEEP_ALIVE)
-    };
-    let mut idle: Vec<&mut ClientConnection> = connections.values_mut().filter(is_closable).collect();
-    idle.sort_by_key(|c| c.idle_since);
-    idle.into_iter().take(max_closed).for_each(ClientConnection::close);
 }
 
 /// Answers `GET /ready`: 200 while the sidecar takes invocations, otherwise 503.
 async fn ready(
     Shared(frontend): Shared<Arc<Frontend>>, Extension(connection): Extension<ConnectionHandle>,
 ) -> Response {
-    let now = frontend.clock.now();
-    if let Some(client) = frontend.connections().get_mut(&connection.id) {
-        client.asked_ready = true;
-        client.idle_since = Some(now);
-    }
+    frontend.connections().on_ready_asked(connection.id, frontend.clock.now());
     let status =
         if frontend.ready.load(Ordering::Relaxed) { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
     if frontend.closes_after_answer(connection.id) {
@@ -454,12 +314,13 @@
 struct DisconnectGuard {
     frontend: Arc<Frontend>,
     number: InvocationNumber,
-    connection_id: u64,
+    connection_id: ConnectionId,
 }
 
 impl Drop for DisconnectGuard {
     fn drop(&mut self) {
-        self.frontend.set_idle(self.connection_id, true);
+        self.frontend.connections().on_answered(self.connection_id, self.frontend.clock.now());
+        self.frontend.connections_changed.notify_one();
         if self.frontend.pending_answers().remove(&self.number).is_some() {
             let _ = self.frontend.inputs.send(Input::ClientDisconnected(self.number));
         }
@@ -498,7 +359,7 @@
     let number = InvocationNumber(frontend.next_number.fetch_add(1, Ordering::Relaxed));
     let (answer_sender, answer) = oneshot::channel();
     frontend.pending_answers().insert(number, answer_sender);
-    frontend.set_idle(connection.id, false);
+    frontend.connections().on_invocation(connection.id);
     let guard = DisconnectGuard { frontend: frontend.clone(), number, connection_id: connection.id };
     let deadline = connection.trace.last_received_at() + limit;
     let _ = frontend.inputs.send(Input::InvocationReceived { number, request_id, request, op, deadline });
--- a/crates/stagepond-sidecar/src/lib.rs
+++ b/crates/stagepond-sidecar/src/lib.rs
@@ -3,6 +3,7 @@
 //! The binary `stagepond` runs it on sockets; the tests drive the reducer alone.
 
 pub mod cli;
+pub mod client_connections;
 pub mod config;
 pub mod connection;
 pub mod discovery;
--- a/crates/stagepond-sidecar/src/lifecycle.rs
+++ b/crates/stagepond-sidecar/src/lifecycle.rs
@@ -10,6 +10,18 @@
 pub const LISTEN_AFTER_SHUTDOWN: Tenths = Tenths::ms(600);
 /// How long answers that are written but not yet read by their clients may delay the exit.
 pub const ANSWER_FLUSH_TIMEOUT: Tenths = Tenths::ms(500);
+/// The platform kills the process at the earliest when the longest time limit and this time have passed since
+/// the shutdown signal (PROTOCOL.md, "Figures").
+const KILL_AFTER_TIME_LIMIT: Tenths = Tenths::ms(700);
+/// Longer time limits count as this long for the kill.
+const MAX_COUNTED_TIME_LIMIT: Tenths = Tenths::ms(3000);
+/// Idle connections are closed this long before the kill.
+const IDLE_CLOSE_BEFORE_KILL: Tenths = Tenths::ms(600);
+/// Invocations that come after the shutdown signal are answered this long before the kill.
+const ANSWERS_DUE_BEFORE_KILL: Tenths = Tenths::ms(250);
+/// Clients that have not read their answers no longer delay the exit this long before the kill. A process that
+/// is held up for up to 0.15 s still exits by itself.
+const EXIT_BEFORE_KILL: Tenths = Tenths::ms(150);
 /// How long to wait for a pod list from discovery before the list in the configuration is used. The agent is
 /// on the same machine and answers within this time.
 pub const FRESH_LIST_TIMEOUT: Tenths = Tenths::ms(500);
@@ -59,6 +71,31 @@
     }
 }
 
+/// When the steps of a shutdown are due.
+#[derive(Clone, Copy, Debug)]
+struct ShutdownSchedule {
+    listener_close_at: Tenths,
+    idle_close_at: Tenths,
+    answers_due_at: Tenths,
+    exit_at: Tenths,
+}
+
+impl ShutdownSchedule {
+    fn new(signal_at: Tenths, longest_time_limit: Tenths) -> ShutdownSchedule {
+        let time_limit = match longest_time_limit {
+            Tenths(0) => MAX_COUNTED_TIME_LIMIT,
+            known => known.min(MAX_COUNTED_TIME_LIMIT),
+        };
+        let kill_at = signal_at + time_limit + KILL_AFTER_TIME_LIMIT;
+        ShutdownSchedule {
+            listener_close_at: signal_at + LISTEN_AFTER_SHUTDOWN,
+            idle_close_at: kill_at - IDLE_CLOSE_BEFORE_KILL,
+            answers_due_at: kill_at - ANSWERS_DUE_BEFORE_KILL,
+            exit_at: kill_at - EXIT_BEFORE_KILL,
+        }
+    }
+}
+
 /// State of the program, logged under its variant's name.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum State {
@@ -66,10 +103,12 @@
     Starting,
     /// Invocations are accepted and dispatched.
     Ready,
-    /// Shutdown was requested: idle connections are closed; new ones are accepted, for one invocation each.
+    /// Shutdown was requested: connections, new ones too, are served on, and each closes with its next answer.
     Leaving,
-    /// The listener is closed; invocations that were accepted are still answered.
+    /// The listener is closed; the connections that are still open are served as before.
     Draining,
+    /// Idle connections are closed; invocations that were accepted are still answered.
+    Closing,
     /// The program exits.
     Stopped,
 }
@@ -79,6 +118,12 @@
 pub struct Lifecycle {
     state: State,
     entered_at: Tenths,
+    /// Longest time that a client waits for its answer; zero if it is not known.
+    longest_time_limit: Tenths,
+    /// Set by the shutdown signal.
+    shutdown: Option<ShutdownSchedule>,
+    /// Whether an invocation is unanswered.
+    busy: bool,
     /// When an invocation was last unanswered, or the state was entered.
     last_busy_at: Tenths,
     /// The listener has been asked to close.
@@ -88,11 +133,15 @@
 }
 
 impl Lifecycle {
-    /// Starts in [`State::Starting`].
-    pub fn new(now: Tenths) -> Lifecycle {
+    /// Starts in [`State::Starting`]. `longest_time_limit` is the longest time that a client waits for its
+    /// answer, or zero if that is not known; the shutdown takes no longer than the platform allows for it.
+    pub fn new(now: Tenths, longest_time_limit: Tenths) -> Lifecycle {
         Lifecycle {
             state: State::Starting,
             entered_at: now,
+            longest_time_limit,
+            shutdown: None,
+            busy: false,
             last_busy_at: now,
             listener_closing: false,
             list_timed_out: false,
@@ -115,8 +164,11 @@
 
     /// Starts the shutdown, unless it has started.
     pub fn begin_shutdown(&mut self, now: Tenths) -> Option<State> {
-        let running = matches!(self.state, State::Starting | State::Ready);
-        running.then(|| self.enter(State::Leaving, now)).flatten()
+        if !matches!(self.state, State::Starting | State::Ready) {
+            return None;
+        }
+        self.shutdown = Some(ShutdownSchedule::new(now, self.longest_time_limit));
+        self.enter(State::Leaving, now)
     }
 
     /// Starts to drain: the listener is closed, and every queued connection was accepted.
@@ -124,21 +176,36 @@
         (self.state == State::Leaving).then(|| self.enter(State::Draining, now)).flatten()
     }
 
-    /// Stops once no invocation is unanswered and either no client is connected or [`ANSWER_FLUSH_TIMEOUT`]
-    /// has passed.
+    /// Starts to close idle connections when that is due.
+    pub fn try_close_idle(&mut self, now: Tenths) -> Option<State> {
+        let due = self.state == State::Draining && now >= self.schedule_or_never(|s| s.idle_close_at);
+        due.then(|| self.enter(State::Closing, now)).flatten()
+    }
+
+    /// Stops once no invocation is unanswered and no client is connected. Clients that stay connected, because
+    /// they do not read their answers or do not finish what they send, delay the exit for
+    /// [`ANSWER_FLUSH_TIMEOUT`] at most, and never up to the kill.
     pub fn try_stop(&mut self, now: Tenths, unanswered: usize, clients_connected: bool) -> Option<State> {
-        if unanswered > 0 {
+        self.busy = unanswered > 0;
+        if self.busy {
             self.last_busy_at = now;
         }
-        let done = unanswered == 0 && (!clients_connected || now >= self.last_busy_at + ANSWER_FLUSH_TIMEOUT);
-        (self.state == State::Draining && done).then(|| self.enter(State::Stopped, now)).flatten()
+        let may_leave_clients = self.state == State::Closing && now >= self.client_wait_ends_at();
+        let done = !self.busy && (!clients_connected || may_leave_clients);
+        let closed = matches!(self.state, State::Draining | State::Closing);
+        (closed && done).then(|| self.enter(State::Stopped, now)).flatten()
+    }
+
+    /// Time by which an invocation that comes now has to be answered at the latest.
+    pub fn answers_due_at(&self) -> Tenths {
+        self.schedule_or_never(|schedule| schedule.answers_due_at)
     }
 
     /// Returns true once, when the listener has been open for [`LISTEN_AFTER_SHUTDOWN`] since the signal.
     pub fn take_listener_close(&mut self, now: Tenths) -> bool {
         let due = self.state == State::Leaving
             && !self.listener_closing
-            && now >= self.entered_at + LISTEN_AFTER_SHUTDOWN;
+            && now >= self.schedule_or_never(|schedule| schedule.listener_close_at);
         self.listener_closing |= due;
         due
     }
@@ -147,9 +214,18 @@
     pub fn next_due(&self) -> Tenths {
         match self.state {
             State::Starting if !self.list_timed_out => self.entered_at + FRESH_LIST_TIMEOUT,
-            State::Leaving if !self.listener_closing => self.entered_at + LISTEN_AFTER_SHUTDOWN,
-            State::Draining => self.last_busy_at + ANSWER_FLUSH_TIMEOUT,
+            State::Leaving if !self.listener_closing => self.schedule_or_never(|s| s.listener_close_at),
+            State::Draining => self.schedule_or_never(|s| s.idle_close_at),
+            State::Closing if !self.busy => self.client_wait_ends_at(),
             _ => Tenths::NEVER,
         }
     }
+
+    fn client_wait_ends_at(&self) -> Tenths {
+        (self.last_busy_at + ANSWER_FLUSH_TIMEOUT).min(self.schedule_or_never(|s| s.exit_at))
+    }
+
+    fn schedule_or_never(&self, step: impl Fn(&ShutdownSchedule) -> Tenths) -> Tenths {
+        self.shutdown.as_ref().map_or(Tenths::NEVER, step)
+    }
 }
--- a/crates/stagepond-sidecar/src/reducer.rs
+++ b/crates/stagepond-sidecar/src/reducer.rs
@@ -298,10 +298,11 @@
             unproposed_votes: VecDeque::new(),
             effects: Vec::new(),
         };
+        let longest_time_limit = facts.longest_time_limit;
         let mut reducer = Reducer {
             balancer: Balancer::new(facts, seed),
             host,
-            lifecycle: Lifecycle::new(now),
+            lifecycle: Lifecycle::new(now, longest_time_limit),
             config_retry: ConfigRetry::default(),
             leadership,
             verification,
@@ -523,6 +524,8 @@
             return self.host.effects.push(Effect::Answer(number, FinalAnswer::RequestIdInUse));
         }
         let inv = inv_id(number);
+        // Of an invocation that comes during the shutdown, nothing may be left when the process is killed.
+        let deadline = deadline.min(self.lifecycle.answers_due_at());
         let mut target = None;
         if let Some(verification) = self.verification.as_mut().filter(|_| number < FIRST_INTERNAL_INVOCATION)
         {
@@ -657,6 +660,8 @@
             self.balancer.on_timer(&mut self.host, token);
         }
         self.update_readiness(false);
+        let state = self.lifecycle.try_close_idle(now);
+        self.push_state(state);
         if self.lifecycle.take_listener_close(now) {
             self.host.effects.push(Effect::CloseListener);
         }
--- a/crates/stagepond-sidecar/tests/program.rs
+++ b/crates/stagepond-sidecar/tests/program.rs
@@ -745,7 +745,11 @@
     let request = pod.next_request().await;
     sidecar.send_signal(Signal::SIGTERM);
     sidecar.wait_for_log("state=Leaving").await;
-    // The idle connection is closed; an invocation sent meanwhile comes on a new connection.
+    // The client of the idle connection can't know of the signal; only an answer tells it to go elsewhere.
+    idle.send(LOOKUP).await;
+    pod.next_request().await.respond("200 OK", "", "for the idle one");
+    let (status, text) = idle.read_response().await;
+    assert!(status == 200 && text.contains("connection: close"), "{text}");
     assert_eq!(idle.read_response().await.0, 0);
     let (mut probe, mut late) = (sidecar.connect_client().await, sidecar.connect_client().await);
     assert_eq!(probe.exchange(READY_REQUEST).await.0, 503);
--- a/crates/stagepond/src/host.rs
+++ b/crates/stagepond/src/host.rs
@@ -200,6 +200,8 @@
     pub machine_kinds: usize,
     /// Operations, indexed by [`Op`].
     pub operations: Vec<Operation>,
+    /// Longest time that a client waits for its answer, over all operations; zero if it is not known.
+    pub longest_time_limit: Tenths,
     /// `billed_value` is per unit of work instead of per invocation.
     pub billed_value_per_work: bool,
     /// Most dispatches of one invocation.
