--- a/crates/stagepond-lab/src/soak/script.rs
+++ b/crates/stagepond-lab/src/soak/script.rs
@@ -77,7 +77,7 @@
     pub clients: usize,
     /// Whether all clients connect in the same moment.
     pub crowd: bool,
-    /// A new connection's first request is sent within this time, by clients that are busy.
+    /// A new connection's first request is sent after half of this time or more, by clients that are busy.
     pub first_request_delay: Duration,
     /// Mean pause of a client between two requests.
     pub think_time: Duration,
--- a/crates/stagepond-sidecar/src/client_connections.rs
+++ b/crates/stagepond-sidecar/src/client_connections.rs
@@ -16,8 +16,8 @@
 /// A client that keeps its connection may rely on it for this long between two invocations.
 const MIN_KEEP_ALIVE: Tenths = Tenths::ms(2000);
 /// Age from which a connection without an invocation may be evicted at the limit. Clients send as soon as
-/// they are connected; without this grace period new connections would evict each other in a burst.
-pub const NEW_CONNECTION_GRACE: Tenths = Tenths::ms(50);
+/// they are connected, but one that is busy itself takes a while, above all in a burst.
+const NEW_CONNECTION_GRACE: Tenths = Tenths::ms(400);
 /// Share of the connection limit above which idle connections are closed before their places are needed.
 const HIGH_LOAD_SHARE: f64 = 0.75;
 /// Share of the connection limit above which every answer closes its connection. A client that has just been
@@ -33,6 +33,8 @@
 pub struct CloseSignals {
     /// Close unless a request is in progress or has arrived unread.
     pub if_idle: Notify,
+    /// Refuse the request that is not received in full, or the one that may be on its way, and close.
+    pub refuse: Notify,
     /// Close at once.
     pub immediate: Notify,
 }
@@ -71,6 +73,11 @@
         }
     }
 
+    /// Whether a refusal is the answer to whatever request comes next or has come in part.
+    fn may_be_refused(&self) -> bool {
+        self.idle_since.is_some() && self.trace.is_all_answered(self.answered)
+    }
+
     fn is_idle(&self) -> bool {
         self.idle_since.is_some() && self.trace.is_between_requests(self.answered)
     }
@@ -181,6 +188,12 @@
         self.connections.get(&id).is_some_and(ClientConnection::is_idle)
     }
 
+    /// Whether no whole request is unanswered on the connection, so that a refusal can't be taken for the
+    /// answer to one that a pod may have run.
+    pub fn may_be_refused(&self, id: ConnectionId) -> bool {
+        self.connections.get(&id).is_some_and(ClientConnection::may_be_refused)
+    }
+
     fn high_load_threshold(&self) -> usize {
         (self.max_connections as f64 * HIGH_LOAD_SHARE) as usize
     }
@@ -197,11 +210,13 @@
 
     /// Asks one connection to end: the oldest that has never sent an invocation, because any process may have
     /// opened it, or else the one that has been idle longest. The connections in the accept queue may have
-    /// sent their invocations already.
+    /// sent their invocations already. The first invocation of an evicted connection may be on its way, so it is
+    /// refused.
     pub fn make_room(&self, now: Tenths) {
         let evictable = self.connections.values().filter(|c| c.is_evictable(now));
         match evictable.min_by_key(|c| c.opened_at) {
-            Some(connection) => connection.signals.immediate.notify_one(),
+            Some(connection) if connection.asked_ready => connection.signals.if_idle.notify_one(),
+            Some(connection) => connection.signals.refuse.notify_one(),
             None => self.close_longest_idle(1, now),
         }
     }
@@ -211,6 +226,11 @@
         self.connections.values().for_each(|c| c.signals.if_idle.notify_one());
     }
 
+    /// Refuses the requests that have been received in part, and closes their connections.
+    pub fn refuse_unfinished(&self) {
+        self.connections.values().for_each(|c| c.signals.refuse.notify_one());
+    }
+
     /// Cuts the connections that have not sent a whole message in time, and closes idle ones above
     /// [`HIGH_LOAD_SHARE`].
     pub fn sweep(&self, now: Tenths) {
--- a/crates/stagepond-sidecar/src/connection.rs
+++ b/crates/stagepond-sidecar/src/connection.rs
@@ -219,13 +219,27 @@
         self.state().incoming.as_ref().and_then(|incoming| incoming.begun_at)
     }
 
-    /// Whether the connection is between two requests: every request received in full is among the `answered`
-    /// ones, none has begun, and none waits in the socket.
+    /// Whether every request received in full is among the `answered` ones.
+    pub fn is_all_answered(&self, answered: u64) -> bool {
+        self.state().incoming.as_ref().is_some_and(|incoming| incoming.completed == answered)
+    }
+
+    /// Whether the connection is between two requests: all are answered, none has begun, and none waits in the
+    /// socket.
     pub fn is_between_requests(&self, answered: u64) -> bool {
-        let state = self.state();
-        let none_received =
-            state.incoming.as_ref().is_some_and(|i| i.begun_at.is_none() && i.completed == answered);
-        none_received && state.has_nothing_to_read()
+        self.is_all_answered(answered)
+            && self.message_begun_at().is_none()
+            && self.state().has_nothing_to_read()
+    }
+
+    /// Writes bytes past the HTTP library, as far as the operating system takes them at once.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection is not open or the write fails.
+    pub fn try_write(&self, bytes: &[u8]) -> io::Result<usize> {
+        let stream = self.state().stream.clone();
+        stream.ok_or(io::ErrorKind::NotConnected)?.try_write(bytes)
     }
 
     /// When bytes were last received.
--- a/crates/stagepond-sidecar/src/frontend.rs
+++ b/crates/stagepond-sidecar/src/frontend.rs
@@ -27,9 +27,7 @@
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{mpsc, oneshot, Notify};
 
-use crate::client_connections::{
-    ClientConnections, CloseSignals, ConnectionCounts, ConnectionId, NEW_CONNECTION_GRACE,
-};
+use crate::client_connections::{ClientConnections, CloseSignals, ConnectionCounts, ConnectionId};
 use crate::connection::{ConnectionTrace, TracedConnection, MAX_HEAD_BYTES};
 use crate::messages::*;
 use crate::request_head::{bad_request, check_head, Operations};
@@ -40,6 +38,10 @@
 /// Pause after a failed accept, which mostly means that no file descriptor is free. The next connection that
 /// closes frees one; without the pause the accept loop would spin until then.
 const ACCEPT_RETRY_DELAY: std::time::Duration = std::time::Duration::from_millis(5);
+/// Answer to a request that has not been received in full and is not waited for any longer.
+const REFUSAL: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
+/// Longest wait at the connection limit until the connections are looked at again.
+const ROOM_CHECK_INTERVAL: Tenths = Tenths::ms(50);
 /// Interval between two checks of all connections for timeouts.
 const SWEEP_INTERVAL: Tenths = Tenths::ms(200);
 /// The most memory that one connection holds: its read buffer and one body.
@@ -136,6 +138,11 @@
         self.connections().close_idle();
     }
 
+    /// Refuses the requests that have been received in part; their last bytes may come too late to be served.
+    pub fn refuse_unfinished_requests(&self) {
+        self.connections().refuse_unfinished();
+    }
+
     /// Accepts the connections that already wait in the queue, then closes the listener and reports
     /// [`Input::ListenerClosed`].
     pub fn close_listener(&self) {
@@ -228,11 +235,8 @@
     async fn wait_for_room(&self) {
         while !self.try_make_room() {
             // The timeout is needed because a connection can become evictable by its age alone.
-            let _ = tokio::time::timeout(
-                to_std_duration(NEW_CONNECTION_GRACE),
-                self.connections_changed.notified(),
-            )
-            .await;
+            let changed = self.connections_changed.notified();
+            let _ = tokio::time::timeout(to_std_duration(ROOM_CHECK_INTERVAL), changed).await;
         }
     }
 
@@ -258,7 +262,7 @@
         let id = self.connections().add(self.clock.now(), trace.clone(), signals.clone());
         tokio::spawn(async move {
             if let Ok(stream) = TracedConnection::new(stream, trace.clone(), self.clock) {
-                let router = router.layer(Extension(ConnectionHandle { id, trace }));
+                let router = router.layer(Extension(ConnectionHandle { id, trace: trace.clone() }));
                 let mut builder = http1::Builder::new();
                 builder.max_buf_size(MAX_HEAD_BYTES);
                 let serving = builder.serve_connection(stream, TowerToHyperService::new(router));
@@ -271,6 +275,7 @@
                         // The result is ignored: handlers report what the end means for an open invocation.
                         _ = &mut serving => break,
                         () = signals.immediate.notified() => break,
+                        () = signals.refuse.notified() => if self.refuse(id, &trace) { break },
                         // The connection is dropped right after the look at its socket.
                         () = signals.if_idle.notified() => if self.connections().is_idle(id) { break },
                     }
@@ -282,6 +287,16 @@
         });
     }
 
+    /// Answers the request that is on its way with a refusal. Returns whether the connection is to end.
+    fn refuse(&self, id: ConnectionId, trace: &ConnectionTrace) -> bool {
+        let refusable = self.connections().may_be_refused(id);
+        if refusable {
+            // If the client has gone, nobody is left to be refused.
+            let _ = trace.try_write(REFUSAL);
+        }
+        refusable
+    }
+
     fn report_if_empty(&self) {
         let empty = self.connections().is_empty();
         if empty && self.leaving.load(Ordering::Relaxed) {
--- a/crates/stagepond-sidecar/tests/program.rs
+++ b/crates/stagepond-sidecar/tests/program.rs
@@ -854,6 +854,25 @@
     assert!(started_at.elapsed() < Duration::from_millis(1500), "{:?}", started_at.elapsed());
 }
 
+/// A client may be about to send its first request when its connection makes room for others.
+#[rstest]
+#[case::silent("")]
+#[case::incomplete_head("GET /lookup HTTP/1.1\r\nX-Requ")]
+#[tokio::test]
+async fn connection_that_makes_room_at_the_limit_is_refused_with_an_answer(#[case] sent: &str) {
+    let pod = start_pod().await;
+    let sidecar = Sidecar::start_with(&[pod.address], |c| c["limits"]["sockets"] = json!(64)).await;
+    let mut clients = Vec::new();
+    for _ in 0..30 {
+        let mut client = sidecar.connect_client().await;
+        client.send(sent).await;
+        clients.push(client);
+    }
+    let (status, text) = clients[0].read_response().await;
+    assert!(status == 503 && text.contains("connection: close"), "{text}");
+    assert_eq!(clients[0].read_response().await.0, 0);
+}
+
 /// Runs a subcommand of the program with this configuration until it ends.
 fn run(command: &str, config: &str) -> Output {
     let folder = tempfile::tempdir().unwrap();
