--- a/crates/stagepond-sidecar/src/event_loop.rs
+++ b/crates/stagepond-sidecar/src/event_loop.rs
@@ -179,6 +179,7 @@
                 }
                 Effect::SetDiscoveryAddress(address) => drop(discovery_address_sender.send_replace(address)),
                 Effect::SetPlatformAddress(address) => drop(platform_address_sender.send_replace(address)),
+                Effect::RefuseUnfinishedRequests => frontend.refuse_unfinished_requests(),
                 Effect::CloseListener => frontend.close_listener(),
                 Effect::Log(text) => tracing::info!("{text}"),
                 Effect::EnterState(state) => {
--- a/crates/stagepond-sidecar/src/lifecycle.rs
+++ b/crates/stagepond-sidecar/src/lifecycle.rs
@@ -126,6 +126,8 @@
     busy: bool,
     /// When an invocation was last unanswered, or the state was entered.
     last_busy_at: Tenths,
+    /// Requests received in part have been refused.
+    refused: bool,
     /// The listener has been asked to close.
     listener_closing: bool,
     /// [`FRESH_LIST_TIMEOUT`] has passed.
@@ -143,6 +145,7 @@
             shutdown: None,
             busy: false,
             last_busy_at: now,
+            refused: false,
             listener_closing: false,
             list_timed_out: false,
         }
@@ -201,6 +204,13 @@
         self.schedule_or_never(|schedule| schedule.answers_due_at)
     }
 
+    /// Returns true once, when requests that are not received in full by now can't be answered in time.
+    pub fn take_refusal(&mut self, now: Tenths) -> bool {
+        let due = self.state == State::Closing && !self.refused && now >= self.answers_due_at();
+        self.refused |= due;
+        due
+    }
+
     /// Returns true once, when the listener has been open for [`LISTEN_AFTER_SHUTDOWN`] since the signal.
     pub fn take_listener_close(&mut self, now: Tenths) -> bool {
         let due = self.state == State::Leaving
@@ -216,6 +226,7 @@
             State::Starting if !self.list_timed_out => self.entered_at + FRESH_LIST_TIMEOUT,
             State::Leaving if !self.listener_closing => self.schedule_or_never(|s| s.listener_close_at),
             State::Draining => self.schedule_or_never(|s| s.idle_close_at),
+            State::Closing if !self.refused => self.answers_due_at().min(self.client_wait_ends_at()),
             State::Closing if !self.busy => self.client_wait_ends_at(),
             _ => Tenths::NEVER,
         }
--- a/crates/stagepond-sidecar/src/messages.rs
+++ b/crates/stagepond-sidecar/src/messages.rs
@@ -299,6 +299,8 @@
     SetDiscoveryAddress(SocketAddr),
     /// Connect to the platform at this address from now on; `None` if there is none.
     SetPlatformAddress(Option<SocketAddr>),
+    /// Refuse the requests that have been received in part.
+    RefuseUnfinishedRequests,
     /// Accept the connections that are still queued, then close the listener.
     CloseListener,
     /// Log this line at level info.
--- a/crates/stagepond-sidecar/src/reducer.rs
+++ b/crates/stagepond-sidecar/src/reducer.rs
@@ -662,6 +662,9 @@
         self.update_readiness(false);
         let state = self.lifecycle.try_close_idle(now);
         self.push_state(state);
+        if self.lifecycle.take_refusal(now) {
+            self.host.effects.push(Effect::RefuseUnfinishedRequests);
+        }
         if self.lifecycle.take_listener_close(now) {
             self.host.effects.push(Effect::CloseListener);
         }
--- a/crates/stagepond-sidecar/tests/program.rs
+++ b/crates/stagepond-sidecar/tests/program.rs
@@ -873,6 +873,32 @@
     assert_eq!(clients[0].read_response().await.0, 0);
 }
 
+#[rstest]
+#[case::incomplete_head("GET /lookup HTTP/1.1\r\nX-Requ")]
+#[case::incomplete_body(
+    "POST /order HTTP/1.1\r\nX-Request-ID: 1\r\nX-Priority-Class: order\r\nX-Timeout-Ms: 9000\r\n\
+                     Content-Length: 9\r\n\r\nhalf"
+)]
+#[tokio::test]
+async fn request_that_is_not_whole_when_the_sidecar_exits_is_refused_with_an_answer(#[case] sent: &str) {
+    let mut pod = start_pod().await;
+    let mut sidecar = Sidecar::start_with(&[pod.address], |config| {
+        for operation in config["settings"]["classes"].as_array_mut().unwrap() {
+            operation["deadline_ms"] = json!(1000.0);
+        }
+    })
+    .await;
+    let mut client = sidecar.connect_client().await;
+    invoke_successfully(&mut client, &mut pod).await;
+    sidecar.send_signal(Signal::SIGTERM);
+    sidecar.wait_for_log("state=Draining").await;
+    client.send(sent).await;
+    let (status, text) = client.read_response().await;
+    assert!(status == 503 && text.contains("connection: close"), "{text}");
+    sidecar.wait_for_log("state=Stopped").await;
+    assert_eq!(count_requests(&mut pod), 0);
+}
+
 /// Runs a subcommand of the program with this configuration until it ends.
 fn run(command: &str, config: &str) -> Output {
     let folder = tempfile::tempdir().unwrap();
