--- a/crates/stagepond-lab/src/soak/script.rs
+++ b/crates/stagepond-lab/src/soak/script.rs
@@ -6,6 +6,8 @@
 const CLIENT_COUNTS: [usize; 4] = [1, 40, 300, 600];
 /// Probability of each of [`CLIENT_COUNTS`], in percent. Large runs take the most processor time.
 const CLIENT_COUNT_PERCENT: [u32; 4] = [10, 45, 30, 15];
+/// Longest time limits of the settings; the kill comes 3.7 s after SIGTERM where they are above 3 s.
+const LONGEST_TIME_LIMITS: [Duration; 2] = [Duration::from_millis(2000), Duration::from_millis(4000)];
 /// Longest time between a connection and its first request.
 const MAX_FIRST_REQUEST_DELAY_MS: u64 = 200;
 /// Restarts of the sidecar in one run.
@@ -75,6 +77,8 @@
     pub seed: u64,
     /// Number of clients, each with one connection.
     pub clients: usize,
+    /// Longest time limit of the settings and of the clients.
+    pub longest_time_limit: Duration,
     /// Whether all clients connect in the same moment.
     pub crowd: bool,
     /// A new connection's first request is sent after half of this time or more, by clients that are busy.
@@ -97,6 +101,7 @@
         Script {
             seed,
             clients,
+            longest_time_limit: LONGEST_TIME_LIMITS[rng.usize(0..LONGEST_TIME_LIMITS.len())],
             crowd: rng.bool(),
             first_request_delay: Duration::from_millis(if rng.bool() {
                 MAX_FIRST_REQUEST_DELAY_MS
--- a/crates/stagepond-sidecar/src/lifecycle.rs
+++ b/crates/stagepond-sidecar/src/lifecycle.rs
@@ -17,11 +17,13 @@
 const MAX_COUNTED_TIME_LIMIT: Tenths = Tenths::ms(3000);
 /// Idle connections are closed this long before the kill.
 const IDLE_CLOSE_BEFORE_KILL: Tenths = Tenths::ms(600);
-/// Invocations that come after the shutdown signal are answered this long before the kill.
+/// Whatever is unanswered is answered this long before the kill.
 const ANSWERS_DUE_BEFORE_KILL: Tenths = Tenths::ms(250);
 /// Clients that have not read their answers no longer delay the exit this long before the kill. A process that
 /// is held up for up to 0.15 s still exits by itself.
 const EXIT_BEFORE_KILL: Tenths = Tenths::ms(150);
+/// How long an answer delays the exit at least, so that it is written: the connection ends right after it.
+const MIN_ANSWER_FLUSH_TIME: Tenths = Tenths::ms(100);
 /// How long to wait for a pod list from discovery before the list in the configuration is used. The agent is
 /// on the same machine and answers within this time.
 pub const FRESH_LIST_TIMEOUT: Tenths = Tenths::ms(500);
@@ -126,8 +128,8 @@
     busy: bool,
     /// When an invocation was last unanswered, or the state was entered.
     last_busy_at: Tenths,
-    /// Requests received in part have been refused.
-    refused: bool,
+    /// [`Lifecycle::take_answers_due`] has returned true.
+    answers_taken: bool,
     /// The listener has been asked to close.
     listener_closing: bool,
     /// [`FRESH_LIST_TIMEOUT`] has passed.
@@ -145,7 +147,7 @@
             shutdown: None,
             busy: false,
             last_busy_at: now,
-            refused: false,
+            answers_taken: false,
             listener_closing: false,
             list_timed_out: false,
         }
@@ -187,7 +189,7 @@
 
     /// Stops once no invocation is unanswered and no client is connected. Clients that stay connected, because
     /// they do not read their answers or do not finish what they send, delay the exit for
-    /// [`ANSWER_FLUSH_TIMEOUT`] at most, and never up to the kill.
+    /// [`ANSWER_FLUSH_TIMEOUT`] at most, and near the kill for [`MIN_ANSWER_FLUSH_TIME`] only.
     pub fn try_stop(&mut self, now: Tenths, unanswered: usize, clients_connected: bool) -> Option<State> {
         self.busy = unanswered > 0;
         if self.busy {
@@ -204,10 +206,10 @@
         self.schedule_or_never(|schedule| schedule.answers_due_at)
     }
 
-    /// Returns true once, when requests that are not received in full by now can't be answered in time.
-    pub fn take_refusal(&mut self, now: Tenths) -> bool {
-        let due = self.state == State::Closing && !self.refused && now >= self.answers_due_at();
-        self.refused |= due;
+    /// Returns true once, when everything that is unanswered or not received in full has to be answered.
+    pub fn take_answers_due(&mut self, now: Tenths) -> bool {
+        let due = self.state == State::Closing && !self.answers_taken && now >= self.answers_due_at();
+        self.answers_taken |= due;
         due
     }
 
@@ -226,14 +228,16 @@
             State::Starting if !self.list_timed_out => self.entered_at + FRESH_LIST_TIMEOUT,
             State::Leaving if !self.listener_closing => self.schedule_or_never(|s| s.listener_close_at),
             State::Draining => self.schedule_or_never(|s| s.idle_close_at),
-            State::Closing if !self.refused => self.answers_due_at().min(self.client_wait_ends_at()),
+            State::Closing if !self.answers_taken => self.answers_due_at().min(self.client_wait_ends_at()),
             State::Closing if !self.busy => self.client_wait_ends_at(),
             _ => Tenths::NEVER,
         }
     }
 
     fn client_wait_ends_at(&self) -> Tenths {
-        (self.last_busy_at + ANSWER_FLUSH_TIMEOUT).min(self.schedule_or_never(|s| s.exit_at))
+        let exit_at = self.schedule_or_never(|schedule| schedule.exit_at);
+        let flushed_at = self.last_busy_at + MIN_ANSWER_FLUSH_TIME;
+        (self.last_busy_at + ANSWER_FLUSH_TIMEOUT).min(exit_at.max(flushed_at))
     }
 
     fn schedule_or_never(&self, step: impl Fn(&ShutdownSchedule) -> Tenths) -> Tenths {
--- a/crates/stagepond-sidecar/src/reducer.rs
+++ b/crates/stagepond-sidecar/src/reducer.rs
@@ -662,14 +662,32 @@
         self.update_readiness(false);
         let state = self.lifecycle.try_close_idle(now);
         self.push_state(state);
-        if self.lifecycle.take_refusal(now) {
+        if self.lifecycle.take_answers_due(now) {
             self.host.effects.push(Effect::RefuseUnfinishedRequests);
+            self.answer_all();
         }
         if self.lifecycle.take_listener_close(now) {
             self.host.effects.push(Effect::CloseListener);
         }
     }
 
+    /// Answers every invocation that is still unanswered, in the order of their numbers, because the kill is
+    /// near. Only those of which nothing was dispatched are told that a retry is harmless.
+    fn answer_all(&mut self) {
+        let invocations = self.host.invocations.iter().filter(|(_, invocation)| !invocation.answered);
+        let mut unanswered: Vec<_> = invocations.map(|(inv, i)| (i.number, inv.clone())).collect();
+        unanswered.sort_by_key(|(number, _)| *number);
+        for (number, inv) in unanswered {
+            let Some(invocation) = self.host.invocations.get_mut(&inv) else { continue };
+            let answer = match invocation.dispatch_count {
+                0 => FinalAnswer::Throttled { retry_after: Tenths(0) },
+                _ => FinalAnswer::Terminated,
+            };
+            self.host.effects.push(Effect::Answer(number, answer));
+            self.on_client_disconnected(&inv);
+        }
+    }
+
     fn on_pod_list(&mut self, list: PodList) {
         let now = self.host.now;
         self.balancer.begin_pod_list(list.is_snapshot);
