--- a/crates/stagepond-lab/src/soak/report.rs
+++ b/crates/stagepond-lab/src/soak/report.rs
@@ -24,6 +24,8 @@
     pub requests: u64,
     /// Answers by status code.
     pub statuses: BTreeMap<u16, u64>,
+    /// Answers 502 in runs whose pods answer at once, by the client's time limit.
+    pub failures_with_well_pods: BTreeMap<Duration, u64>,
     /// Everything that the sidecar did wrong.
     pub faults: Vec<Fault>,
     /// Longest time from SIGTERM to the exit.
@@ -45,6 +47,7 @@
             restarts: 0,
             requests: 0,
             statuses: BTreeMap::new(),
+            failures_with_well_pods: BTreeMap::new(),
             faults: Vec::new(),
             longest_exit: Duration::ZERO,
             within_restarts: histogram(),
@@ -60,10 +63,13 @@
     }
 
     /// Counts a request.
-    pub fn add(&mut self, record: &Record, within_restart: bool) {
+    pub fn add(&mut self, record: &Record, within_restart: bool, well_pods: bool) {
         self.requests += 1;
         let Ending::Answered { status } = record.ending else { return };
         *self.statuses.entry(status).or_default() += 1;
+        if status == 502 && well_pods {
+            *self.failures_with_well_pods.entry(record.limit).or_default() += 1;
+        }
         let histogram = if within_restart { &mut self.within_restarts } else { &mut self.outside_restarts };
         histogram.saturating_record((record.ended_at - record.sent_at).as_micros() as u64);
     }
@@ -76,6 +82,9 @@
         for (status, count) in other.statuses {
             *self.statuses.entry(status).or_default() += count;
         }
+        for (limit, count) in other.failures_with_well_pods {
+            *self.failures_with_well_pods.entry(limit).or_default() += count;
+        }
         self.faults.extend(other.faults);
         self.longest_exit = self.longest_exit.max(other.longest_exit);
         self.within_restarts += &other.within_restarts;
@@ -100,6 +109,7 @@
         for (kind, count) in &shown {
             println!("fault {kind:?}: {count}");
         }
+        println!("answers 502 with well pods, by time limit: {:?}", self.failures_with_well_pods);
         print_quantiles("outside restarts", &self.outside_restarts);
         print_quantiles("within restarts", &self.within_restarts);
         let statuses: Vec<String> = self.statuses.iter().map(|(status, n)| format!("{status}:{n}")).collect();
--- a/crates/stagepond-lab/src/soak/run.rs
+++ b/crates/stagepond-lab/src/soak/run.rs
@@ -288,7 +288,7 @@
             orders: &orders,
         };
         for record in records.lock().expect("no holder of the lock panics").iter() {
-            self.report.add(record, context.restart_of(record).is_some());
+            self.report.add(record, context.restart_of(record).is_some(), context.well_pods);
             self.report.faults.extend(context.check(record));
         }
         drop(orders);
--- a/crates/stagepond-sidecar/src/client_connections.rs
+++ b/crates/stagepond-sidecar/src/client_connections.rs
@@ -226,6 +226,12 @@
         self.connections.values().for_each(|c| c.signals.if_idle.notify_one());
     }
 
+    /// Cuts every connection, whatever is in progress on it.
+    #[cfg(feature = "planted")]
+    pub fn close_all(&self) {
+        self.connections.values().for_each(|c| c.signals.immediate.notify_one());
+    }
+
     /// Refuses the requests that have been received in part, and closes their connections.
     pub fn refuse_unfinished(&self) {
         self.connections.values().for_each(|c| c.signals.refuse.notify_one());
--- a/crates/stagepond-sidecar/src/frontend.rs
+++ b/crates/stagepond-sidecar/src/frontend.rs
@@ -131,6 +131,10 @@
     /// open, because their clients go on using them, and the listener stays open for new ones.
     pub fn begin_leaving(&self) {
         self.leaving.store(true, Ordering::Relaxed);
+        #[cfg(feature = "planted")]
+        if crate::planted::is_planted(crate::planted::Fault::CloseAtOnce) {
+            self.connections().close_all();
+        }
     }
 
     /// Closes the connections on which no request is in progress or has arrived.
--- a/crates/stagepond-sidecar/src/lib.rs
+++ b/crates/stagepond-sidecar/src/lib.rs
@@ -16,6 +16,8 @@
 pub mod messages;
 pub mod operators;
 pub mod peers;
+#[cfg(feature = "planted")]
+pub mod planted;
 pub mod platform;
 pub mod pods;
 pub mod reducer;
