--- a/crates/stagepond/src/balance.rs
+++ b/crates/stagepond/src/balance.rs
@@ -1136,8 +1136,10 @@
     fn evaluate_fleet_sample(&mut self) {
         let before_trial = self.release_affecting_fleet().is_none();
         if before_trial {
+            let sidecars = self.facts.sidecar_count as f64;
             for baseline in self.latency_baselines.iter_mut().filter(|b| b.answers > 0) {
-                baseline.threshold_before_trial_ms = baseline.slow_threshold_ms;
+                baseline.threshold_before_trial_ms =
+                    baseline.upper_threshold_ms(SLOW_QUANTILE, SLOW_THRESHOLD_STEP, sidecars);
             }
         }
         if self.now < self.fleet_sampled_at + FLEET_SAMPLE_INTERVAL
@@ -1167,7 +1169,14 @@
         let excess = ((slow_share - usual - min_increase) / min_increase).clamp(-bound, bound);
         // A slow second weighs by the build's share of the traffic, at a quarter as much as at half.
         let traffic_weight = traffic.max((2.0 * traffic).min(0.5));
-        self.add_evidence(FLEET_TEST, excess * FLEET_EVIDENCE_PER_SEC * seconds * traffic_weight);
+        let weight = FLEET_EVIDENCE_PER_SEC * seconds * traffic_weight;
+        // Wald's bound on false rollbacks holds for a sum whose steps have the mean -weight and the variance
+        // weight^2 * v, with v the variance of `excess`, up to the weight 2 / v. The answers of all sidecars
+        // count, since their evidence is averaged.
+        let answers = sample.all * self.facts.sidecar_count as f64;
+        let max_weight =
+            2.0 * answers * min_increase.powi(2) / (usual * (1.0 - usual)).max(f64::MIN_POSITIVE);
+        self.add_evidence(FLEET_TEST, excess * weight.min(max_weight));
     }
 
     /// Samples an answer for the concurrency limit, which follows the share of late answers: a few costly
@@ -1320,6 +1329,20 @@
         Some((VOTER_DELAY.scale(self.voter_rank? as f64), self.judged_release()?))
     }
 
+    /// What a vote rests on, for whoever reads the log.
+    fn vote_reason(&self, verdict: Verdict) -> &'static str {
+        if verdict != Verdict::Back {
+            return "no test speaks against the build";
+        }
+        let highest = (0..TEST_COUNT).max_by(|a, b| self.totals[*a].total_cmp(&self.totals[*b]));
+        match highest {
+            Some(ERROR_TEST) => "the build errs more often than the earlier one",
+            Some(LATENCY_TEST) => "the build is slower than the earlier one",
+            Some(WRONG_ANSWER_TEST) => "clients report wrong answers of the build",
+            _ => "all pods, earlier ones too, are slower than before the build",
+        }
+    }
+
     /// Casts the vote unless the same one was cast and is not due for repetition; returns whether it did.
     fn cast_vote(&mut self, host: &mut dyn Host, release: ReleaseState, verdict: Verdict) -> bool {
         let ReleaseState { build, stage, .. } = release;
@@ -1331,8 +1354,11 @@
         // `erred`, `slow`, `wrong` and `shared` label the totals of the error, latency, wrong-answer and fleet
         // tests, in that order. Operators read the line by these labels.
         host.log(&format!(
-            "vote {verdict:?} on build {} stage {stage}: erred/slow/wrong/shared {:.1?}, {} outcomes known",
-            build.0, self.totals, self.known_outcomes
+            "vote {verdict:?} on build {} stage {stage}: erred/slow/wrong/shared {:.1?}, {} outcomes known, {}",
+            build.0,
+            self.totals,
+            self.known_outcomes,
+            self.vote_reason(verdict)
         ));
         host.vote(build, stage, verdict);
         true
--- a/crates/stagepond/src/state.rs
+++ b/crates/stagepond/src/state.rs
@@ -388,9 +388,11 @@
     pub mean_ms: f64,
     /// Running estimate of a quantile; an answer that takes longer is slow.
     pub slow_threshold_ms: f64,
+    /// Size of the threshold's last step, on a logarithmic scale.
+    pub relative_step: f64,
     /// Moving share of slow answers.
     pub slow_share: f64,
-    /// `slow_threshold_ms` as it was before the trial.
+    /// Upper end of `slow_threshold_ms` as it was before the trial.
     pub threshold_before_trial_ms: f64,
     /// When the last answer was recorded.
     pub updated_at: Tenths,
@@ -409,7 +411,16 @@
         }
         self.slow_share += (f64::from(slow) - self.slow_share) * step.min(steady_step);
         let direction = if slow { quantile } else { quantile - 1.0 };
-        self.slow_threshold_ms *= (direction * (gain * step).clamp(steady_step, 1.0)).exp();
+        self.relative_step = (gain * step).clamp(steady_step, 1.0);
+        self.slow_threshold_ms *= (direction * self.relative_step).exp();
+    }
+
+    /// Upper end of the threshold's estimate. One slow answer raises the threshold by its step, so at any
+    /// moment it may be that far below the quantile. What exceeds the steady step is an error of this sidecar
+    /// alone and averages out over `sidecars`.
+    pub fn upper_threshold_ms(&self, quantile: f64, steady_step: f64, sidecars: f64) -> f64 {
+        let error = steady_step + (self.relative_step - steady_step).max(0.0) / sidecars.sqrt();
+        self.slow_threshold_ms * (quantile * error).exp()
     }
 }
 
