--- a/crates/stagepond-lab/tests/leadership.rs
+++ b/crates/stagepond-lab/tests/leadership.rs
@@ -155,6 +155,7 @@
 #[case::bootstrap_ack_before_proposal(1_018_249)]
 #[case::promise_kept_for_a_failed_bootstrap(1_009_694)]
 #[case::key_change_missed_while_paused(1_001_283)]
+#[case::leader_never_backs_up_over_a_longer_log(8_812_345_002_225)]
 fn seeds_that_once_failed(#[case] seed: u64) {
     let outcome = Simulation::new(proof::seeded_config(seed, None)).run();
     assert_eq!(outcome.broken, []);
--- a/crates/stagepond-leadership/src/raft.rs
+++ b/crates/stagepond-leadership/src/raft.rs
@@ -861,8 +861,9 @@
             }
             // The follower's committed entries equal the leader's; the entries after them may differ.
             None => {
-                let back = Number(progress.next_number.0.saturating_sub(1)).min(last);
-                progress.next_number = back.max(commit).next();
+                let previous = Number(progress.next_number.0.saturating_sub(1));
+                let back = Number(previous.0.saturating_sub(1)).min(last);
+                progress.next_number = back.max(commit).max(progress.match_number).next();
                 false
             }
         };
