--- a/crates/stagepond-lab/tests/leadership.rs
+++ b/crates/stagepond-lab/tests/leadership.rs
@@ -3,6 +3,7 @@
 
 use rstest::rstest;
 use stagepond_lab::faults::{Fault, ScheduledFault};
+use stagepond_lab::leadership::invariants::{InvariantChecker, Violation};
 use stagepond_lab::leadership::proof;
 use stagepond_lab::leadership::simulation::{Outcome, Simulation, SimulationConfig};
 use stagepond_leadership::ids::{Seat, Tenths};
@@ -156,6 +157,8 @@
 #[case::promise_kept_for_a_failed_bootstrap(1_009_694)]
 #[case::key_change_missed_while_paused(1_001_283)]
 #[case::leader_never_backs_up_over_a_longer_log(8_812_345_002_225)]
+#[case::lost_entries_under_the_numbers_of_an_isolated_leader(8_812_345_000_073)]
+#[case::lost_entries_under_the_numbers_of_a_second_one(8_812_345_000_537)]
 fn seeds_that_once_failed(#[case] seed: u64) {
     let outcome = Simulation::new(proof::seeded_config(seed, None)).run();
     assert_eq!(outcome.broken, []);
@@ -163,6 +166,23 @@
     assert_eq!(again.hash, outcome.hash, "equal seeds give equal traces");
 }
 
+/// Two entries were in force when the group is bootstrapped, and one memory holds the first.
+#[rstest]
+fn after_a_bootstrap_only_entries_that_no_memory_holds_may_be_replaced() {
+    let mut checker = InvariantChecker::default();
+    for number in [1, 2] {
+        checker.on_committed(ms(1000), Seat(1), number, 100 + number);
+    }
+    checker.on_bootstrap(|number, digest| (number, digest) == (1, 101));
+    assert_eq!(checker.entries_lost_with_memory, 1);
+    checker.on_committed(ms(2000), Seat(0), 2, 202);
+    assert_eq!(checker.violations, []);
+    checker.on_committed(ms(2000), Seat(0), 1, 201);
+    checker.on_committed(ms(3000), Seat(2), 2, 302);
+    let replaced = |number, at, seat| Violation::TwoDecrees { at, seat, number };
+    assert_eq!(checker.violations, [replaced(1, ms(2000), Seat(0)), replaced(2, ms(3000), Seat(2))]);
+}
+
 #[rstest]
 fn sixty_seeds_violate_no_invariant() {
     let summary = proof::run_seeds(1_000_000, 60, 4);
