--- a/crates/stagepond-sidecar/tests/program.rs
+++ b/crates/stagepond-sidecar/tests/program.rs
@@ -433,6 +433,8 @@
 #[case::zero_time_limit("GET", "/lookup", "X-Timeout-Ms: 0\r\n", 400)]
 #[case::negative_time_limit("GET", "/lookup", "X-Timeout-Ms: -9\r\n", 400)]
 #[case::time_limit_too_long("GET", "/lookup", "X-Timeout-Ms: 4000000000\r\n", 400)]
+#[case::time_limit_beyond_64_bits_of_tenths("GET", "/lookup", "X-Timeout-Ms: 1844674407370955162\r\n", 400)]
+#[case::time_limit_beyond_64_bits("GET", "/lookup", "X-Timeout-Ms: 99999999999999999999\r\n", 400)]
 #[case::two_time_limits("GET", "/lookup", "X-Timeout-Ms: 900\r\nX-Timeout-Ms: 9\r\n", 400)]
 #[case::two_ids("GET", "/lookup", "X-Request-ID: another\r\nX-Timeout-Ms: 900\r\n", 400)]
 #[case::two_lengths("POST", "/order", "X-Timeout-Ms: 900\r\nContent-Length: 0\r\n", 400)]
--- a/crates/stagepond/src/host.rs
+++ b/crates/stagepond/src/host.rs
@@ -13,9 +13,9 @@
     /// Later than any reachable point in time; small enough that adding a duration does not overflow.
     pub const NEVER: Tenths = Tenths(i64::MAX / 4);
 
-    /// Converts whole milliseconds.
+    /// Converts whole milliseconds; values out of range become the nearest one in it.
     pub const fn ms(ms: i64) -> Self {
-        Tenths(ms * 10)
+        Tenths(ms.saturating_mul(10))
     }
     /// Converts milliseconds, rounding down to a tenth.
     pub fn floor_ms(ms: f64) -> Self {
@@ -38,14 +38,14 @@
 impl Add for Tenths {
     type Output = Tenths;
     fn add(self, other: Tenths) -> Tenths {
-        Tenths(self.0 + other.0)
+        Tenths(self.0.saturating_add(other.0))
     }
 }
 
 impl Sub for Tenths {
     type Output = Tenths;
     fn sub(self, other: Tenths) -> Tenths {
-        Tenths(self.0 - other.0)
+        Tenths(self.0.saturating_sub(other.0))
     }
 }
 
