--- a/crates/stagepond-sidecar/src/reducer.rs
+++ b/crates/stagepond-sidecar/src/reducer.rs
@@ -693,11 +693,15 @@
         self.balancer.begin_pod_list(list.is_snapshot);
         if list.is_snapshot {
             let listed: HashSet<_> = list.pods.iter().map(|entry| &entry.name).collect();
-            for (name, pod) in &mut self.host.pods {
-                if !listed.contains(name) && pod.gone_since.is_none() {
-                    pod.gone_since = Some(now);
-                    self.host.effects.push(Effect::CloseIdleConnections(pod.process.address));
-                }
+            let is_missing =
+                |(name, pod): &(&PodName, &mut KnownPod)| !listed.contains(*name) && pod.gone_since.is_none();
+            let mut missing: Vec<_> =
+                self.host.pods.iter_mut().filter(is_missing).map(|(_, pod)| pod).collect();
+            // The order of a hash map differs between runs.
+            missing.sort_by_key(|pod| pod.id);
+            for pod in missing {
+                pod.gone_since = Some(now);
+                self.host.effects.push(Effect::CloseIdleConnections(pod.process.address));
             }
         }
         for entry in list.pods {
--- a/crates/stagepond-sidecar/src/reducer_tests.rs
+++ b/crates/stagepond-sidecar/src/reducer_tests.rs
@@ -477,6 +477,16 @@
     assert!(matches!(answers(&effects)[..], [(n, _)] if n == number));
 }
 
+#[rstest]
+fn connections_to_pods_that_a_snapshot_lacks_close_in_the_order_of_the_pods() {
+    let mut harness = ReducerHarness::with_pods(20);
+    let effects = harness.apply(Input::PodListReceived(pod_list(true, vec![pod_entry(1, 1)])));
+    let closed: Vec<_> =
+        effects.into_iter().filter(|e| matches!(e, Effect::CloseIdleConnections(_))).collect();
+    let expected: Vec<_> = (2..=20).map(|n| Effect::CloseIdleConnections(pod_entry(n, 1).address)).collect();
+    assert_eq!(closed, expected);
+}
+
 #[rstest]
 fn equal_inputs_give_equal_effects() {
     let run = || {
