--- a/crates/stagepond-facts/src/lib.rs
+++ b/crates/stagepond-facts/src/lib.rs
@@ -9,6 +9,9 @@
 use serde_json::Value;
 use stagepond::host::*;
 
+/// Largest count that a setting may give.
+const MAX_COUNT: u64 = 1_000_000;
+
 /// Names used on the wire for indexes of the decision module; the name of index `i` is element `i`.
 pub struct Names {
     /// Names of operations, indexed by [`Op`].
@@ -59,6 +62,39 @@
     value_at(settings, path)?.as_array().ok_or_else(|| anyhow!("settings: {path} is not a list"))
 }
 
+/// The number at `path`, or `default` if there is no value.
+fn number_or(settings: &Value, path: &str, default: f64) -> Result<f64> {
+    settings.pointer(path).map_or(Ok(default), |_| number_at(settings, path))
+}
+
+/// The whole number from 0 to `max` at `path`.
+fn count_at(settings: &Value, path: &str, max: u64) -> Result<u64> {
+    let value = value_at(settings, path)?;
+    // Whole numbers may be written with a decimal point.
+    let whole = value.as_f64().filter(|number| number.fract() == 0.0 && (0.0..=max as f64).contains(number));
+    whole
+        .map(|number| number as u64)
+        .ok_or_else(|| anyhow!("settings: {path} is {value}, expected a whole number from 0 to {max}"))
+}
+
+/// The string at `path`, which has to be one of `words`.
+fn word_at<'a>(settings: &'a Value, path: &str, words: &[&str]) -> Result<&'a str> {
+    let word = string_at(settings, path)?;
+    if !words.contains(&word) {
+        bail!("settings: {path} is {word:?}, expected one of {words:?}");
+    }
+    Ok(word)
+}
+
+/// The strings of the list at `path`. An element of another type would shift the positions of the others.
+fn strings_at(settings: &Value, path: &str) -> Result<Vec<String>> {
+    let string = |(index, value): (usize, &Value)| match value.as_str() {
+        Some(text) => Ok(text.to_string()),
+        None => bail!("settings: {path}/{index} is {value}, expected a string"),
+    };
+    list_at(settings, path)?.iter().enumerate().map(string).collect()
+}
+
 /// Parses one element of `/classes`. Paths in its errors are relative to that element.
 fn parse_operation(settings: &Value) -> Result<Operation> {
     let retry_safety = match string_at(settings, "/repeat")? {
@@ -69,13 +105,14 @@
             bail!(r#"settings: /repeat is {other:?}, expected "pure", "token" or "side_effect""#)
         }
     };
-    let dedup_scope = match settings.pointer("/group").and_then(Value::as_str).unwrap_or("all") {
+    let group = settings.pointer("/group").map_or(Ok("all"), |_| string_at(settings, "/group"))?;
+    let dedup_scope = match group {
         "all" => DedupScope::All,
         "zone" => DedupScope::Zone,
         "cell" => DedupScope::Cell,
         other => bail!(r#"settings: /group is {other:?}, expected "all", "zone" or "cell""#),
     };
-    let dedup_window_ms = settings.pointer("/window_ms").and_then(Value::as_f64).unwrap_or(0.0);
+    let dedup_window_ms = number_or(settings, "/window_ms", 0.0)?;
     Ok(Operation {
         retry_safety,
         dedup_scope,
@@ -98,28 +135,28 @@
     let names_of = |path: &str| -> Result<Vec<String>> {
         list_at(settings, path)?.iter().map(|entry| Ok(string_at(entry, "/name")?.to_string())).collect()
     };
-    let strings_of = |path: &str| -> Result<Vec<String>> {
-        Ok(list_at(settings, path)?.iter().filter_map(|name| name.as_str().map(str::to_string)).collect())
-    };
-    let zones = strings_of("/zones")?;
-    let machine_kinds = strings_of("/skus")?;
+    let word = |path: &str, words: &[&str]| word_at(settings, path, words);
+    let zones = strings_at(settings, "/zones")?;
+    let machine_kinds = strings_at(settings, "/skus")?;
     let own_zone = string("/zone")?;
     let zone = zones
         .iter()
         .position(|zone| zone == own_zone)
         .ok_or_else(|| anyhow!("settings: /zone is {own_zone:?}, which is not in /zones"))?;
     let classes = list_at(settings, "/classes")?;
-    let time_limits_ms = classes.iter().filter_map(|class| class.pointer("/deadline_ms")?.as_f64());
-    let initial_cap = list_at(settings, "/family_info/caps")?.first().and_then(Value::as_f64).unwrap_or(0.0);
+    let time_limits_ms: Vec<f64> =
+        classes.iter().map(|class| number_or(class, "/deadline_ms", 0.0)).collect::<Result<_>>()?;
+    let caps = list_at(settings, "/family_info/caps")?;
+    let initial_cap = if caps.is_empty() { 0.0 } else { number("/family_info/caps/0")? };
     let facts = Facts {
-        own_peer: Peer(number("/self_index")? as usize),
-        sidecar_count: number("/fleet_size")? as usize,
+        own_peer: Peer(count_at(settings, "/self_index", MAX_COUNT)? as usize),
+        sidecar_count: count_at(settings, "/fleet_size", MAX_COUNT)? as usize,
         zone: Zone(zone),
         machine_kinds: machine_kinds.len(),
         operations: classes.iter().map(parse_operation).collect::<Result<_>>()?,
-        longest_time_limit: Tenths::floor_ms(time_limits_ms.fold(0.0, f64::max)),
-        billed_value_per_work: string("/worth_by")? == "work",
-        max_dispatches: number("/bounds/max_attempts")? as usize,
+        longest_time_limit: Tenths::floor_ms(time_limits_ms.into_iter().fold(0.0, f64::max)),
+        billed_value_per_work: word("/worth_by", &["request", "work"])? == "work",
+        max_dispatches: count_at(settings, "/bounds/max_attempts", MAX_COUNT)? as usize,
         parallel_dispatches: boolean("/bounds/parallel_tries")?,
         cancel_allowed: boolean("/bounds/cancel")?,
         peer_messages: boolean("/bounds/peers")?,
@@ -131,10 +168,10 @@
         },
         initial_cap,
         cap_burst: number("/family_info/spare_tries")?,
-        cap_per_operation: string("/family_info/counts")? == "class",
-        idempotent_only_stages: number("/family_info/guarded_stages")? as u32,
+        cap_per_operation: word("/family_info/counts", &["all", "class"])? == "class",
+        idempotent_only_stages: count_at(settings, "/family_info/guarded_stages", MAX_COUNT)? as u32,
         sticky_keys: boolean("/family_info/no_return")?,
-        votes_advance: string("/family_info/vote_mode")? != "timer",
+        votes_advance: word("/family_info/vote_mode", &["any", "share", "timer"])? != "timer",
         min_stage_time: millis("/family_info/least_stage_ms")?,
         vote_ttl: millis("/family_info/ballot_ttl_ms")?,
         vote_timeout: millis("/family_info/vote_wait_ms")?,
@@ -142,7 +179,7 @@
         cold_capacity_share: number("/guarantees/cold_share")?,
         warmup_time: millis("/guarantees/ramp_time_ms")?,
         overload_multiple: number("/guarantees/fall_multiple")?,
-        must_subscribe: string("/membership_mode")? == "subscribe",
+        must_subscribe: word("/membership_mode", &["automatic", "subscribe"])? == "subscribe",
     };
     Ok((facts, Names { operations: names_of("/classes")?, zones, machine_kinds }))
 }
