--- a/crates/stagepond-sidecar/src/state_files.rs
+++ b/crates/stagepond-sidecar/src/state_files.rs
@@ -104,9 +104,17 @@
     write_file(path, PERSISTENT_STATE_MAGIC, encoded)
 }
 
+/// Where the new contents of a file are written first. The whole name of the file is kept, because files that
+/// differ in their extension alone must not share it.
+fn temporary_path(path: &Path) -> PathBuf {
+    let mut name = path.as_os_str().to_owned();
+    name.push(".new");
+    PathBuf::from(name)
+}
+
 /// Replaces the file atomically: writes and flushes a temporary file, renames it and flushes the directory.
 fn write_file(path: &Path, magic: &[u8; 8], body: &[u8]) -> std::io::Result<()> {
-    let temporary = path.with_extension("new");
+    let temporary = temporary_path(path);
     let mut file = OpenOptions::new().write(true).create(true).truncate(true).mode(0o600).open(&temporary)?;
     file.write_all(magic)?;
     file.write_all(&(body.len() as u32).to_le_bytes())?;
@@ -155,6 +163,17 @@
 
     use super::*;
 
+    /// Two state files may differ in their extension alone; a write of one must not touch the other, whatever
+    /// its name is.
+    #[rstest]
+    fn writing_a_state_file_leaves_its_neighbours_alone() {
+        let directory = tempfile::tempdir().unwrap();
+        let (written, neighbour) = (directory.path().join("state.a"), directory.path().join("state.new"));
+        std::fs::write(&neighbour, "of another part").unwrap();
+        write_file(&written, PERSISTENT_STATE_MAGIC, b"body").unwrap();
+        assert_eq!(std::fs::read(&neighbour).ok().as_deref(), Some(&b"of another part"[..]));
+    }
+
     /// A damaged or truncated file must be an error. Read as if there were none, it would let a voter forget
     /// its vote and its log.
     #[rstest]
