--- a/crates/stagepond-lab/src/tuf/sockets.rs
+++ b/crates/stagepond-lab/src/tuf/sockets.rs
@@ -189,12 +189,15 @@
     Ok(Answer { status, failed_check, body })
 }
 
+/// Stands for the kind of a refusal that names none, so that it is never taken for trust.
+const NO_KIND: &str = "no kind";
+
 /// Reads the outcome of a metadata refresh from a log line: `None` for any other line, `Some(None)` if
 /// metadata is trusted, and the kind of the error if it is refused.
-fn refresh_outcome(line: &Value) -> Option<Option<String>> {
+pub fn refresh_outcome(line: &Value) -> Option<Option<String>> {
     match line["event"].as_str() {
         Some("trusted") => Some(None),
-        Some("metadata_refused") => Some(line["kind"].as_str().map(str::to_string)),
+        Some("metadata_refused") => Some(Some(line["kind"].as_str().unwrap_or(NO_KIND).to_string())),
         _ => None,
     }
 }
--- a/crates/stagepond-lab/tests/tuf.rs
+++ b/crates/stagepond-lab/tests/tuf.rs
@@ -40,3 +40,13 @@
         "{report:?}"
     );
 }
+
+/// A refusal that names no kind was taken for trust.
+#[rstest]
+fn a_refusal_without_a_kind_is_a_refusal() {
+    use stagepond_lab::tuf::sockets::refresh_outcome;
+    let line = |text: &str| serde_json::from_str(text).unwrap();
+    assert_eq!(refresh_outcome(&line(r#"{"event":"trusted"}"#)), Some(None));
+    assert!(refresh_outcome(&line(r#"{"event":"metadata_refused"}"#)).flatten().is_some());
+    assert_eq!(refresh_outcome(&line(r#"{"event":"arrived"}"#)), None);
+}
