--- a/crates/stagepond-lab/tests/leadership.rs
+++ b/crates/stagepond-lab/tests/leadership.rs
@@ -159,6 +159,7 @@
 #[case::leader_never_backs_up_over_a_longer_log(8_812_345_002_225)]
 #[case::lost_entries_under_the_numbers_of_an_isolated_leader(8_812_345_000_073)]
 #[case::lost_entries_under_the_numbers_of_a_second_one(8_812_345_000_537)]
+#[case::refusal_of_an_earlier_terms_append_renewed_the_lease(31_415_926_002_214)]
 fn seeds_that_once_failed(#[case] seed: u64) {
     let outcome = Simulation::new(proof::seeded_config(seed, None)).run();
     assert_eq!(outcome.broken, []);
@@ -198,6 +199,7 @@
         PlantedFault::CommitAlone,
         PlantedFault::NoPreVote,
         PlantedFault::TransferKeepsMandate,
+        PlantedFault::AppendIdsRestart,
     ] {
         assert!(proof::find_planted(planted, 1_000_000, 40, 4).is_some(), "{planted:?}");
     }
--- a/crates/stagepond-leadership/src/raft.rs
+++ b/crates/stagepond-leadership/src/raft.rs
@@ -114,8 +114,8 @@
 #[derive(Clone, Debug, Hash)]
 struct LeaderState {
     followers: BTreeMap<Voter, Progress>,
-    /// Identifier of the latest append sent, to whichever follower. Each gets the next number.
-    last_append_id: u64,
+    /// Identifier of the first append of this term. An answer to an earlier one says nothing about this term.
+    first_append_id: u64,
     heartbeat_rounds: VecDeque<HeartbeatRound>,
     lease_until: Tenths,
     /// Position of the first entry of this leader's term.
@@ -250,6 +250,9 @@
     /// Messages with the version that must be persisted before they may be sent.
     pending_messages: VecDeque<(u64, Seat, Message)>,
     role: Role,
+    /// Identifier of the latest append that this process sent, to whichever follower in whichever term. Each
+    /// gets the next number, so an answer to an append of an earlier term can't pass for one of this term.
+    last_append_id: u64,
     leader: Option<Seat>,
     /// Until then this instance votes for no other candidate, since the leader that it heard from may hold a
     /// lease.
@@ -283,7 +286,7 @@
             .hash(state);
         (self.bootstrap_promise, self.highest_era, self.bootstrap_ack, self.life, self.persisted_last)
             .hash(state);
-        (self.version - self.persisted_version, &self.pending_messages).hash(state);
+        (self.version - self.persisted_version, &self.pending_messages, self.last_append_id).hash(state);
     }
 }
 
@@ -308,6 +311,7 @@
             persisted_last,
             pending_messages: VecDeque::new(),
             role: Role::Follower,
+            last_append_id: 0,
             leader: None,
             // An earlier process may have helped to renew a lease just before this start.
             hold_until: now + hold,
@@ -638,6 +642,9 @@
 
     /// Becomes the leader of the current term: appends its first entry and sends heartbeats.
     fn become_leader(&mut self, now: Tenths) {
+        if self.planted.has(Fault::AppendIdsRestart) {
+            self.last_append_id = 0;
+        }
         let next_number = self.persistent.log.last().1.next();
         let new = |_: Voter| Progress {
             match_number: Number(0),
@@ -657,7 +664,7 @@
         self.bootstrap = None;
         self.role = Role::Leader(Box::new(LeaderState {
             followers,
-            last_append_id: 0,
+            first_append_id: self.last_append_id + 1,
             heartbeat_rounds: VecDeque::new(),
             // The new leader has one lease time to get answers from a quorum. Before that it can't act, since
             // its first entry is not committed.
@@ -745,7 +752,7 @@
         let interval = self.settings.heartbeat_interval();
         let Role::Leader(leader) = &mut self.role else { return };
         leader.next_heartbeat_at = now + interval;
-        let round = HeartbeatRound { first_append_id: leader.last_append_id + 1, sent_at: now };
+        let round = HeartbeatRound { first_append_id: self.last_append_id + 1, sent_at: now };
         leader.heartbeat_rounds.push_back(round);
         if leader.heartbeat_rounds.len() > MAX_HEARTBEAT_ROUNDS {
             leader.heartbeat_rounds.pop_front();
@@ -762,14 +769,14 @@
     fn send_append(&mut self, voter: Voter) {
         let Role::Leader(leader) = &mut self.role else { return };
         let Some(progress) = leader.followers.get_mut(&voter) else { return };
-        leader.last_append_id += 1;
-        progress.last_sent_id = leader.last_append_id;
+        self.last_append_id += 1;
+        progress.last_sent_id = self.last_append_id;
         let log = &self.persistent.log;
         // Entries up to the base are compacted. A follower that needs them sees the commit index and fetches
         // them.
         let previous_number = Number(progress.next_number.0.saturating_sub(1)).max(log.base_number());
         let previous_term = log.term_at(previous_number).unwrap_or_default();
-        let (term, memory, append_id) = (self.persistent.term, self.id.memory, leader.last_append_id);
+        let (term, memory, append_id) = (self.persistent.term, self.id.memory, self.last_append_id);
         let (previous, commit) = ((previous_term, previous_number), log.commit_number());
         let append_with =
             |entries| Message::AppendRequest { term, memory, append_id, previous, commit, entries };
@@ -843,9 +850,11 @@
         }
         let interval = self.settings.heartbeat_interval();
         let Role::Leader(leader) = &mut self.role else { return };
-        let Some(progress) = leader.followers.get_mut(&voter).filter(|_| term == self.persistent.term) else {
+        // A follower that refuses an append of an earlier term answers in its own, which may be this one.
+        if term != self.persistent.term || append_id < leader.first_append_id {
             return;
-        };
+        }
+        let Some(progress) = leader.followers.get_mut(&voter) else { return };
         if now > progress.answered_at + interval + interval + interval {
             progress.responsive_since = now;
         }
--- a/crates/stagepond-leadership/src/wire.rs
+++ b/crates/stagepond-leadership/src/wire.rs
@@ -146,7 +146,8 @@
     AppendRequest {
         term: Term,
         memory: Memory,
-        /// Number of this request among all that the leader sent in its term; repeated in the answer.
+        /// Number of this request among all that the leader's process sent, in this term or an earlier one;
+        /// repeated in the answer.
         append_id: u64,
         /// Term and position of the entry before `entries`.
         previous: (Term, Number),
@@ -156,6 +157,7 @@
     },
     /// Answers a [`Message::AppendRequest`].
     AppendAnswer {
+        /// The sender's current term: that of the request, or a later one in which it refused the request.
         term: Term,
         memory: Memory,
         append_id: u64,
--- /dev/null
+++ b/crates/stagepond-leadership/tests/raft.rs
@@ -0,0 +1,147 @@
+//! One Raft node whose peers are scripted, for orders of messages and writes that the simulation seldom draws.
+
+use rstest::rstest;
+use stagepond_leadership::ids::*;
+use stagepond_leadership::log::{Command, Log, Voters};
+use stagepond_leadership::members::Members;
+use stagepond_leadership::planted::Planted;
+use stagepond_leadership::raft::{PersistentState, RaftNode};
+use stagepond_leadership::settings::Settings;
+use stagepond_leadership::wire::{Health, MemberState, Message};
+
+const FIRST_TERM: Term = Term((1000 << TERM_BITS) | 1);
+const NODE: Seat = Seat(0);
+/// The follower that answers; the third voter never does.
+const PEER: Seat = Seat(1);
+
+fn memory_of(seat: Seat) -> Memory {
+    Memory(500 + u64::from(seat.0))
+}
+
+fn settings(durable: bool) -> Settings {
+    Settings { prefer_lowest_seat: false, durable, ..Settings::default_for(3) }.validate().unwrap()
+}
+
+/// The node at seat 0, with a committed configuration of three voters, all of them alive.
+struct Scripted {
+    node: RaftNode,
+    members: Members,
+    now: Tenths,
+}
+
+impl Scripted {
+    fn new(durable: bool) -> Scripted {
+        let (now, settings) = (Tenths(0), settings(durable));
+        let mut log = Log::default();
+        let voter = |seat| Voter { seat: Seat(seat), memory: memory_of(Seat(seat)) };
+        let voters = Voters::single((0..3).map(voter).collect());
+        let number = log.append(FIRST_TERM, PEER, Command::Voters(voters));
+        log.commit_up_to(number);
+        let memory = memory_of(NODE);
+        let persistent = PersistentState { term: FIRST_TERM, log, ..PersistentState::empty(NODE, memory) };
+        let life = Life(memory.0);
+        let mut members = Members::new(now, NODE, life, memory, &settings, 0);
+        for seat in [1, 2].map(Seat) {
+            members.merge(
+                now,
+                MemberState {
+                    seat,
+                    life: Life(memory_of(seat).0),
+                    incarnation: 0,
+                    health: Health::Alive,
+                    suspected_by: seat,
+                    memory: Some(Memory(0)),
+                },
+            );
+        }
+        let node = RaftNode::new(now, life, persistent, &settings, 0, Planted::default());
+        Scripted { node, members, now }
+    }
+
+    /// Moves to the time at which the node has work to do, and returns the messages that it sends to the peer.
+    fn tick(&mut self) -> Vec<Message> {
+        self.now = self.now.max(self.node.next_due());
+        self.node.tick(self.now, &self.members);
+        self.sent()
+    }
+
+    /// Delivers a message of the peer, and returns those that the node sends back.
+    fn deliver(&mut self, message: Message) -> Vec<Message> {
+        self.node.on_message(self.now, PEER, message);
+        self.sent()
+    }
+
+    fn sent(&mut self) -> Vec<Message> {
+        let (_, messages) = self.node.finish_step(self.now);
+        messages.into_iter().filter(|(to, _)| *to == PEER).map(|(_, message)| message).collect()
+    }
+
+    /// The peer's answer to a request of the node, as a follower with an equal log and term gives it.
+    fn answer(&self, request: &Message) -> Option<Message> {
+        let memory = memory_of(PEER);
+        match request {
+            Message::PreVoteRequest { term, .. } => Some(Message::PreVoteAnswer {
+                term: *term,
+                memory,
+                granted: true,
+                own_term: self.node.term(),
+            }),
+            Message::VoteRequest { term, .. } => {
+                Some(Message::VoteAnswer { term: *term, memory, granted: true })
+            }
+            Message::AppendRequest { term, append_id, previous, commit, entries, .. } => {
+                let last = Number(previous.1 .0 + entries.len() as u64);
+                let (append_id, matched) = (*append_id, Some(last));
+                Some(Message::AppendAnswer { term: *term, memory, append_id, matched, last, commit: *commit })
+            }
+            _ => None,
+        }
+    }
+
+    /// Ticks, and has the peer answer all that follows, until the condition holds.
+    fn answer_until(&mut self, condition: impl Fn(&Scripted) -> bool) {
+        for _ in 0..200 {
+            let mut requests = self.tick();
+            while let Some(request) = requests.pop() {
+                let answer = self.answer(&request);
+                requests.extend(answer.into_iter().flat_map(|answer| self.deliver(answer)));
+                if condition(self) {
+                    return;
+                }
+            }
+        }
+        panic!("the condition did not hold within 200 ticks");
+    }
+
+    fn holds_lease(&self) -> bool {
+        self.node.lease(self.now).is_some()
+    }
+}
+
+/// A refusal names the append that it refuses, of an earlier term, and the follower's own term, which is this
+/// one. It must not count as the answer to the heartbeats of this term, none of which has that number yet.
+#[rstest]
+fn an_answer_to_an_append_of_an_earlier_term_does_not_renew_the_lease() {
+    let mut leader = Scripted::new(false);
+    leader.answer_until(Scripted::holds_lease);
+    let first_term = leader.node.term();
+    let until = leader.now + Tenths::ms(20_000);
+    leader.answer_until(|leader| leader.now >= until);
+    let Some(Message::AppendRequest { append_id, .. }) = leader.tick().pop() else {
+        panic!("a leader sends heartbeats")
+    };
+    let memory = memory_of(PEER);
+    leader.deliver(Message::VoteAnswer { term: first_term.next(), memory, granted: false });
+    assert!(!leader.node.is_leader(), "a later term exists");
+    leader.answer_until(Scripted::holds_lease);
+
+    let (term, commit) = (leader.node.term(), leader.node.committed().1);
+    let last = leader.node.log().last().1;
+    leader.deliver(Message::AppendAnswer { term, memory, append_id, matched: None, last, commit });
+    let ends_at = leader.now + settings(false).lease_time();
+    while leader.now < ends_at {
+        leader.tick();
+    }
+    assert!(!leader.holds_lease(), "nobody answers any more");
+    assert!(!leader.node.is_leader(), "nobody answers any more");
+}
