--- a/crates/stagepond-leadership/src/lib.rs
+++ b/crates/stagepond-leadership/src/lib.rs
@@ -13,6 +13,7 @@
 //! - [`wire`] - messages between instances
 //! - [`seal`] - authentication of datagrams
 //! - [`members`] - failure detection (SWIM)
+//! - `persistence` - versions of the persistent state, and the messages that wait for one
 //! - [`lease`] - the leader's time-limited permission to act
 //! - [`raft`] - elections, leases and replication
 //! - [`instance`] - all of the above behind one step function
@@ -22,6 +23,7 @@
 pub mod lease;
 pub mod log;
 pub mod members;
+mod persistence;
 pub mod planted;
 pub mod raft;
 pub mod seal;
--- a/crates/stagepond-leadership/src/raft.rs
+++ b/crates/stagepond-leadership/src/raft.rs
@@ -18,14 +18,13 @@
 use crate::lease::LeaderLease;
 use crate::log::*;
 use crate::members::Members;
+use crate::persistence::PersistenceTracker;
 use crate::planted::{Fault, Planted};
 use crate::settings::{Settings, MAX_POOL_SEATS};
 use crate::wire::*;
 
 /// Heartbeats that wait for their answers. An answer to an older one can no longer extend the lease.
 const MAX_HEARTBEAT_ROUNDS: usize = 32;
-/// Messages that wait until the state they depend on is persisted.
-const MAX_PENDING_MESSAGES: usize = 256;
 /// A bootstrap attempt is abandoned after this many hold times ([`Settings::hold_time`]).
 const BOOTSTRAP_TIMEOUT_HOLDS: i64 = 2;
 /// Distance between the eras of one seat. Each seat of the pool starts eras at its own offset, so no two
@@ -237,18 +236,7 @@
     planted: Planted,
     rng: fastrand::Rng,
     persistent: PersistentState,
-    /// Version of the persistent state: raised at the end of each step that changed it.
-    version: u64,
-    /// Whether the persistent state changed in this step.
-    dirty: bool,
-    /// The latest version that survives a crash.
-    persisted_version: u64,
-    /// The last log position of each version that is not persisted yet.
-    unpersisted: VecDeque<(u64, Number)>,
-    /// The last log position that is persisted.
-    persisted_last: Number,
-    /// Messages with the version that must be persisted before they may be sent.
-    pending_messages: VecDeque<(u64, Seat, Message)>,
+    persistence: PersistenceTracker,
     role: Role,
     /// Identifier of the latest append that this process sent, to whichever follower in whichever term. Each
     /// gets the next number, so an answer to an append of an earlier term can't pass for one of this term.
@@ -284,9 +272,8 @@
         (&self.persistent, &self.role, &self.leader, &self.bootstrap, &self.catch_up).hash(state);
         (self.hold_until, self.election_at, self.leaderless_since, self.bootstrap_at, self.catch_up_at)
             .hash(state);
-        (self.bootstrap_promise, self.highest_era, self.bootstrap_ack, self.life, self.persisted_last)
-            .hash(state);
-        (self.version - self.persisted_version, &self.pending_messages, self.last_append_id).hash(state);
+        (self.bootstrap_promise, self.highest_era, self.bootstrap_ack, self.life).hash(state);
+        (&self.persistence, self.last_append_id).hash(state);
     }
 }
 
@@ -304,12 +291,7 @@
             planted,
             rng: fastrand::Rng::with_seed(seed ^ SEED_MASK),
             persistent,
-            version: 0,
-            dirty: false,
-            persisted_version: 0,
-            unpersisted: VecDeque::new(),
-            persisted_last,
-            pending_messages: VecDeque::new(),
+            persistence: PersistenceTracker::new(settings.durable, persisted_last),
             role: Role::Follower,
             last_append_id: 0,
             leader: None,
@@ -407,11 +389,6 @@
         Tenths(rank * self.settings.round_trip.0) + self.jitter()
     }
 
-    /// Marks the persistent state as changed in this step.
-    fn mark_dirty(&mut self) {
-        self.dirty = true;
-    }
-
     fn send(&mut self, to: Seat, message: Message) {
         self.outbox.push((to, message));
     }
@@ -424,43 +401,19 @@
     pub fn finish_step(&mut self, now: Tenths) -> (Option<u64>, Vec<(Seat, Message)>) {
         let mut version_to_persist = None;
         loop {
-            if std::mem::take(&mut self.dirty) {
-                self.version += 1;
-                self.unpersisted.push_back((self.version, self.persistent.log.last().1));
-                version_to_persist = Some(self.version);
-            }
-            let version = self.version;
-            self.pending_messages.extend(self.outbox.drain(..).map(|(to, message)| (version, to, message)));
-            if self.settings.durable || self.persisted_version == version {
-                break;
-            }
-            // Without a disk the state counts as persisted at once. What follows from that may change it
-            // again.
+            let last = self.persistent.log.last().1;
+            version_to_persist = self.persistence.close_version(last).or(version_to_persist);
+            self.persistence.hold_messages(self.outbox.drain(..));
+            let Some(version) = self.persistence.version_without_disk() else { break };
+            // What follows from the state being persisted may change it again.
             self.on_persisted(now, version);
         }
-        let mut messages = Vec::new();
-        while self.pending_messages.front().is_some_and(|(needs, ..)| *needs <= self.persisted_version) {
-            messages.extend(self.pending_messages.pop_front().map(|(_, to, message)| (to, message)));
-        }
-        // Raft tolerates lost messages, so the oldest are dropped rather than queued without limit on a slow
-        // disk.
-        while self.pending_messages.len() > MAX_PENDING_MESSAGES {
-            self.pending_messages.pop_front();
-        }
-        (version_to_persist.filter(|_| self.settings.durable), messages)
+        (version_to_persist.filter(|_| self.settings.durable), self.persistence.take_messages())
     }
 
     /// The persistent state of this version, and of all earlier ones, survives a crash.
     pub fn on_persisted(&mut self, now: Tenths, version: u64) {
-        self.persisted_version = self.persisted_version.max(version.min(self.version));
-        let mut advanced = false;
-        while self.unpersisted.front().is_some_and(|(needs, _)| *needs <= self.persisted_version) {
-            if let Some((_, last)) = self.unpersisted.pop_front() {
-                self.persisted_last = last;
-                advanced = true;
-            }
-        }
-        if advanced {
+        if self.persistence.on_persisted(version) {
             self.advance_commit(now);
         }
         // This instance's own vote and acknowledgement count once they are persisted.
@@ -528,7 +481,7 @@
             self.persistent.voted_for = None;
             self.leader = None;
             (self.bootstrap_promise, self.bootstrap_ack) = (None, None);
-            self.mark_dirty();
+            self.persistence.mark_dirty();
         }
     }
 
@@ -610,7 +563,7 @@
         self.persistent.term = self.persistent.term.next();
         self.persistent.voted_for = Some(self.id);
         self.bootstrap_promise = None;
-        self.mark_dirty();
+        self.persistence.mark_dirty();
         let until = now + Tenths(self.settings.round_trip.0 * 2);
         let granted = BTreeSet::from([self.id]);
         self.role = Role::Candidate { pre_vote: false, granted, until };
@@ -628,7 +581,7 @@
     fn count_votes(&mut self, now: Tenths) {
         let Role::Candidate { pre_vote, granted, .. } = &self.role else { return };
         // This instance's own vote counts only once it is persisted. A pre-vote needs no persistence.
-        let own_counts = *pre_vote || self.persisted_version >= self.version && !self.dirty;
+        let own_counts = *pre_vote || self.persistence.is_persisted();
         let voters = self.voters();
         if !own_counts || !voters.has_quorum(|v| granted.contains(v)) {
             return;
@@ -659,7 +612,7 @@
         let first_of_era = self.is_bootstrap_pending();
         let command = if first_of_era { Command::Voters(voters) } else { Command::Opening };
         let opening_number = self.persistent.log.append(self.persistent.term, self.id.seat, command);
-        self.mark_dirty();
+        self.persistence.mark_dirty();
         self.leader = Some(self.id.seat);
         self.bootstrap = None;
         self.role = Role::Leader(Box::new(LeaderState {
@@ -723,7 +676,7 @@
         let granted = up_to_date && not_voted_for_other;
         if granted && self.persistent.voted_for.is_none() {
             self.persistent.voted_for = Some(candidate);
-            self.mark_dirty();
+            self.persistence.mark_dirty();
         }
         if granted {
             self.bootstrap_promise = None;
@@ -808,7 +761,7 @@
             // A leader of a later term exists. Either its log holds the era's configuration, or the era never
             // began.
             self.persistent.pending_bootstrap = None;
-            self.mark_dirty();
+            self.persistence.mark_dirty();
         }
         self.leader = Some(from);
         self.leaderless_since = now;
@@ -829,7 +782,7 @@
                 changed |= log.store(entry);
             }
             if changed {
-                self.mark_dirty();
+                self.persistence.mark_dirty();
             }
             matched = Some(last_matched);
             self.commit_up_to(now, commit.min(last_matched));
@@ -913,7 +866,7 @@
     /// Advances the leader's commit index: an entry of the leader's own term is committed once a quorum has
     /// it, and all entries before it with it (paper, section 5.4.2).
     fn advance_commit(&mut self, now: Tenths) {
-        let (voters, own_id, persisted_last) = (self.voters(), self.id, self.persisted_last);
+        let (voters, own_id, persisted_last) = (self.voters(), self.id, self.persistence.persisted_last());
         let ignores_quorum = self.planted.has(Fault::CommitAlone);
         let Role::Leader(leader) = &self.role else { return };
         let stored_up_to = |v: &Voter| {
@@ -945,7 +898,7 @@
         if entries.is_empty() {
             return;
         }
-        self.mark_dirty();
+        self.persistence.mark_dirty();
         for entry in entries {
             let changes_voters = matches!(entry.command, Command::Voters(_));
             let lease = self.lease(now).filter(|lease| lease.term() == entry.term);
@@ -998,7 +951,7 @@
     /// Appends a command to the leader's own log.
     fn append_command(&mut self, command: Command) -> Number {
         let number = self.persistent.log.append(self.persistent.term, self.id.seat, command);
-        self.mark_dirty();
+        self.persistence.mark_dirty();
         let is_only_pending = self.persistent.log.uncommitted_len() == 1;
         if let Role::Leader(leader) = &mut self.role {
             // Sent at once rather than with the next heartbeat. An entry that follows others is sent when
@@ -1240,7 +1193,7 @@
             && !self.is_leader()
             && self.persistent.log.install_snapshot(snapshot)
         {
-            self.mark_dirty();
+            self.persistence.mark_dirty();
             self.advance_term(now, term);
             self.events.push(Event::SnapshotInstalled { number: snapshot_number });
         }
@@ -1433,7 +1386,7 @@
         self.advance_term(now, term);
         self.persistent.pending_bootstrap = Some((term, voters));
         self.persistent.voted_for = Some(leader);
-        self.mark_dirty();
+        self.persistence.mark_dirty();
         self.events.push(Event::Bootstrapped { era });
         let until = now + Tenths(self.settings.hold_time.0 * BOOTSTRAP_TIMEOUT_HOLDS);
         (self.election_at, self.bootstrap_at) = (until, until + self.jitter());
@@ -1475,7 +1428,7 @@
     /// persisted.
     fn lead_if_acknowledged(&mut self, now: Tenths) {
         let pool = self.bootstrap_pool();
-        let persisted = self.persisted_version >= self.version && !self.dirty;
+        let persisted = self.persistence.is_persisted();
         let Role::BootstrapLeader { acknowledged, .. } = &self.role else { return };
         if persisted && pool.iter().all(|seat| acknowledged.contains(seat)) {
             self.become_leader(now);
