--- a/crates/stagepond-lab/src/leadership/proof.rs
+++ b/crates/stagepond-lab/src/leadership/proof.rs
@@ -52,7 +52,10 @@
     let mut config = seeded_config(seed, Some(planted));
     let mut time_rng = fastrand::Rng::with_seed(seed ^ TIME_SEED_MASK);
     let mut start_time = || Tenths::ms(2500 + time_rng.i64(0..16_000));
-    let needs_disk = matches!(planted, PlantedFault::TermForgotten | PlantedFault::VoteForgotten);
+    let needs_disk = matches!(
+        planted,
+        PlantedFault::TermForgotten | PlantedFault::VoteForgotten | PlantedFault::OverlappingWrites
+    );
     config.settings.durable |= needs_disk;
     let seats = config.settings.seats;
     let mut seat_rng = fastrand::Rng::with_seed(seed ^ SEAT_SEED_MASK);
@@ -61,6 +64,7 @@
     let fault_count = match planted {
         PlantedFault::VoteForgotten => 40,
         PlantedFault::AppendIdsRestart => 20,
+        PlantedFault::OverlappingWrites => 12,
         _ => 4,
     };
     for nth in 0..fault_count {
@@ -71,6 +75,10 @@
             PlantedFault::VoteForgotten if nth % 4 == 1 => {
                 Fault::Mute { seat: seat(), lasts: Tenths::ms(1300) }
             }
+            PlantedFault::OverlappingWrites => {
+                let seats = (0..seats).map(Seat).collect();
+                Fault::CrashMany { seats, down: Tenths::ms(30), keeps_memory: true }
+            }
             PlantedFault::TermForgotten | PlantedFault::VoteForgotten | PlantedFault::CommitAlone => {
                 Fault::Crash { seat: seat(), down: Tenths::ms(30), keeps_memory: true }
             }
--- a/crates/stagepond-leadership/src/instance.rs
+++ b/crates/stagepond-leadership/src/instance.rs
@@ -44,7 +44,8 @@
 pub enum Effect {
     /// Send a datagram to the instance at a seat.
     Send { to: Seat, bytes: Vec<u8> },
-    /// Write this state atomically, flush it, and answer with [`Input::Persisted`].
+    /// Write this state atomically, flush it, and answer with [`Input::Persisted`]. There is no further one
+    /// before that answer, so that a write can't be overtaken by an earlier one.
     Persist { version: u64, state: Vec<u8> },
     /// This instance leads, with the first lease of its term.
     BecameLeader(LeaderLease),
--- a/crates/stagepond-leadership/src/raft.rs
+++ b/crates/stagepond-leadership/src/raft.rs
@@ -291,7 +291,7 @@
             planted,
             rng: fastrand::Rng::with_seed(seed ^ SEED_MASK),
             persistent,
-            persistence: PersistenceTracker::new(settings.durable, persisted_last),
+            persistence: PersistenceTracker::new(settings.durable, persisted_last, planted),
             role: Role::Follower,
             last_append_id: 0,
             leader: None,
@@ -394,29 +394,34 @@
     }
 
     /// Ends a step. Returns the version of the persistent state that must be written now, if any, and the
-    /// messages that may be sent now.
+    /// messages that may be sent now. No other version is returned before that one is written.
     ///
     /// A message is held back until the state that it depends on is persisted; see
     /// [`RaftNode::on_persisted`].
     pub fn finish_step(&mut self, now: Tenths) -> (Option<u64>, Vec<(Seat, Message)>) {
-        let mut version_to_persist = None;
         loop {
-            let last = self.persistent.log.last().1;
-            version_to_persist = self.persistence.close_version(last).or(version_to_persist);
+            self.persistence.close_version(self.persistent.log.last().1);
             self.persistence.hold_messages(self.outbox.drain(..));
-            let Some(version) = self.persistence.version_without_disk() else { break };
+            if !self.persistence.confirm_without_disk() {
+                break;
+            }
             // What follows from the state being persisted may change it again.
-            self.on_persisted(now, version);
+            self.on_state_persisted(now);
         }
-        (version_to_persist.filter(|_| self.settings.durable), self.persistence.take_messages())
+        (self.persistence.next_write(), self.persistence.take_messages())
     }
 
-    /// The persistent state of this version, and of all earlier ones, survives a crash.
+    /// The host has written the persistent state of this version: it survives a crash, as do all earlier
+    /// versions.
     pub fn on_persisted(&mut self, now: Tenths, version: u64) {
-        if self.persistence.on_persisted(version) {
-            self.advance_commit(now);
+        if self.persistence.on_written(version) {
+            self.on_state_persisted(now);
         }
-        // This instance's own vote and acknowledgement count once they are persisted.
+    }
+
+    /// This instance's own entries, vote and acknowledgement count once they are persisted.
+    fn on_state_persisted(&mut self, now: Tenths) {
+        self.advance_commit(now);
         self.count_votes(now);
         self.lead_if_acknowledged(now);
     }
--- a/crates/stagepond-leadership/tests/raft.rs
+++ b/crates/stagepond-leadership/tests/raft.rs
@@ -2,7 +2,7 @@
 
 use rstest::rstest;
 use stagepond_leadership::ids::*;
-use stagepond_leadership::log::{Command, Log, Voters};
+use stagepond_leadership::log::{Command, Entry, Log, Voters};
 use stagepond_leadership::members::Members;
 use stagepond_leadership::planted::Planted;
 use stagepond_leadership::raft::{PersistentState, RaftNode};
@@ -145,3 +145,48 @@
     assert!(!leader.holds_lease(), "nobody answers any more");
     assert!(!leader.node.is_leader(), "nobody answers any more");
 }
+
+/// Each write replaces the whole state. An earlier one that is done after a later one would take the log back
+/// behind entries that this node has confirmed.
+#[rstest]
+fn a_state_is_given_out_only_after_the_write_before_it() {
+    let mut follower = Scripted::new(true);
+    let mut append = |number: u64| {
+        let entry = Entry {
+            term: FIRST_TERM,
+            number: Number(number),
+            leader: PEER,
+            command: Command::Freeze { build: number as u16, frozen: true },
+        };
+        let request = Message::AppendRequest {
+            term: FIRST_TERM,
+            memory: memory_of(PEER),
+            append_id: number,
+            previous: (FIRST_TERM, Number(number - 1)),
+            commit: Number(1),
+            entries: vec![entry],
+        };
+        follower.node.on_message(follower.now, PEER, request);
+        follower.node.finish_step(follower.now)
+    };
+    let (first_write, answers) = append(2);
+    let first_write = first_write.expect("entry 2 must be written");
+    assert_eq!(answers, [], "nothing is confirmed before it is written");
+    assert_eq!(append(3), (None, vec![]), "the first write is not done");
+    assert_eq!(append(4), (None, vec![]), "the first write is not done");
+
+    let mut written = |version| {
+        follower.node.on_persisted(follower.now, version);
+        let (next_write, answers) = follower.node.finish_step(follower.now);
+        let matched = answers.into_iter().filter_map(|(_, answer)| match answer {
+            Message::AppendAnswer { matched, .. } => matched,
+            _ => None,
+        });
+        (next_write, matched.collect::<Vec<_>>())
+    };
+    let (second_write, confirmed) = written(first_write);
+    assert_eq!(confirmed, [Number(2)]);
+    let second_write = second_write.expect("entries 3 and 4 must be written");
+    assert_eq!(written(first_write), (None, vec![]), "a repeated completion confirms nothing more");
+    assert_eq!(written(second_write), (None, vec![Number(3), Number(4)]));
+}
