--- a/crates/stagepond-lab/src/leadership/proof.rs
+++ b/crates/stagepond-lab/src/leadership/proof.rs
@@ -16,6 +16,9 @@
 /// Separates the random seats of the added faults from both.
 const SEAT_SEED_MASK: u64 = 0xbeef;
 
+/// The time between commands where writes must overlap: less than the longest write takes.
+const FREQUENT_COMMAND_INTERVAL: Tenths = Tenths::ms(10);
+
 /// The settings of the seeded simulations: short times, so that much happens, and clocks that drift far
 /// apart.
 pub fn settings(seats: u16, durable: bool) -> Settings {
@@ -57,6 +60,9 @@
         PlantedFault::TermForgotten | PlantedFault::VoteForgotten | PlantedFault::OverlappingWrites
     );
     config.settings.durable |= needs_disk;
+    if planted == PlantedFault::OverlappingWrites {
+        config.command_interval = FREQUENT_COMMAND_INTERVAL;
+    }
     let seats = config.settings.seats;
     let mut seat_rng = fastrand::Rng::with_seed(seed ^ SEAT_SEED_MASK);
     let mut seat = || Seat(seat_rng.u16(0..seats.min(3)));
--- a/crates/stagepond-lab/tests/leadership.rs
+++ b/crates/stagepond-lab/tests/leadership.rs
@@ -201,6 +201,7 @@
         PlantedFault::NoPreVote,
         PlantedFault::TransferKeepsMandate,
         PlantedFault::AppendIdsRestart,
+        PlantedFault::OverlappingWrites,
     ] {
         assert!(proof::find_planted(planted, 1_000_000, 40, 4).is_some(), "{planted:?}");
     }
