--- a/crates/stagepond-leadership/src/raft.rs
+++ b/crates/stagepond-leadership/src/raft.rs
@@ -1198,6 +1198,8 @@
             && !self.is_leader()
             && self.persistent.log.install_snapshot(snapshot)
         {
+            // What the initiator of a bootstrap was told of this log no longer holds.
+            self.bootstrap_promise = None;
             self.persistence.mark_dirty();
             self.advance_term(now, term);
             self.events.push(Event::SnapshotInstalled { number: snapshot_number });
