--- a/crates/stagepond-leadership/src/raft.rs
+++ b/crates/stagepond-leadership/src/raft.rs
@@ -534,8 +534,13 @@
 
     /// Whether an era was accepted whose configuration is not in the log yet.
     fn is_bootstrap_pending(&self) -> bool {
-        let pending = &self.persistent.pending_bootstrap;
-        pending.as_ref().is_some_and(|(first_term, _)| self.persistent.log.voters().1 < *first_term)
+        self.pending_first_term().is_some()
+    }
+
+    /// The first term of an era that was accepted and whose configuration is not in the log yet.
+    fn pending_first_term(&self) -> Option<Term> {
+        let (first_term, _) = self.persistent.pending_bootstrap.as_ref()?;
+        (self.persistent.log.voters().1 < *first_term).then_some(*first_term)
     }
 
     /// Whether this instance may vote and stand as a candidate.
@@ -1112,7 +1117,9 @@
 
     /// Another instance reported its last committed entry. Fetches what is missing here.
     pub fn on_peer_commit(&mut self, now: Tenths, from: Seat, committed: (Term, Number)) {
-        if committed > self.committed() && now >= self.catch_up_at {
+        // An accepted era begins with the log of its leader, which may lack what a peer had committed before.
+        let precedes_era = self.pending_first_term().is_some_and(|first_term| committed.0 < first_term);
+        if committed > self.committed() && now >= self.catch_up_at && !precedes_era {
             self.start_catch_up(now, from);
         }
     }
@@ -1393,6 +1400,8 @@
         self.advance_term(now, term);
         self.persistent.pending_bootstrap = Some((term, voters));
         self.persistent.voted_for = Some(leader);
+        // What was asked for before may come from a log that the era's leader does not have.
+        self.catch_up = None;
         self.persistence.mark_dirty();
         self.events.push(Event::Bootstrapped { era });
         let until = now + Tenths(self.settings.hold_time.0 * BOOTSTRAP_TIMEOUT_HOLDS);
--- a/crates/stagepond-leadership/tests/raft.rs
+++ b/crates/stagepond-leadership/tests/raft.rs
@@ -237,3 +237,23 @@
     node.deliver(proposal(era));
     assert_eq!(node.node.term(), FIRST_TERM, "the proposal is refused");
 }
+
+/// Once an instance has accepted an era, its log may grow by what that era's leader holds alone.
+#[rstest]
+#[case::requested_before(true, false)]
+#[case::requested_after(false, true)]
+fn an_accepted_era_ends_a_fetch_from_earlier_eras(#[case] before: bool, #[case] after: bool) {
+    let mut node = Scripted::new(false);
+    let era = Era(2000);
+    if before {
+        node.fetch_from_peer();
+    }
+    node.deliver(Message::BootstrapRequest { era, initiator: INITIATOR });
+    node.deliver(proposal(era));
+    assert_eq!(node.node.term(), Term::first_of_era(era), "the proposal is accepted");
+    if after {
+        node.fetch_from_peer();
+    }
+    node.deliver(snapshot_of_peer());
+    assert_eq!(node.node.committed(), (FIRST_TERM, Number(1)));
+}
