--- a/crates/stagepond-lab/tests/leadership.rs
+++ b/crates/stagepond-lab/tests/leadership.rs
@@ -162,6 +162,7 @@
 #[case::refusal_of_an_earlier_terms_append_renewed_the_lease(31_415_926_002_214)]
 #[case::earlier_write_completed_after_a_later_one(52_098_117_020_319)]
 #[case::earlier_write_of_the_voter_that_made_the_quorum(52_098_117_028_278)]
+#[case::accepted_era_that_never_began_kept_a_member_behind(52_098_117_003_989)]
 fn seeds_that_once_failed(#[case] seed: u64) {
     let outcome = Simulation::new(proof::seeded_config(seed, None)).run();
     assert_eq!(outcome.broken, []);
--- a/crates/stagepond-leadership/src/raft.rs
+++ b/crates/stagepond-leadership/src/raft.rs
@@ -23,7 +23,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use self::bootstrap::{Bootstrap, BootstrapAck, BootstrapPromise};
+use self::bootstrap::{Bootstrap, BootstrapAck, BootstrapPromise, BOOTSTRAP_TIMEOUT_HOLDS};
 use self::catch_up::CatchUp;
 use crate::ids::*;
 use crate::lease::LeaderLease;
@@ -229,6 +229,8 @@
     /// The highest era seen in any message.
     highest_era: Era,
     bootstrap_ack: Option<BootstrapAck>,
+    /// When an era that this instance has accepted should have begun.
+    bootstrap_overdue_at: Tenths,
     life: Life,
     /// When this instance considers starting a bootstrap.
     bootstrap_at: Tenths,
@@ -248,6 +250,7 @@
         (self.hold_until, self.election_at, self.leaderless_since, self.bootstrap_at, self.catch_up_at)
             .hash(state);
         (self.bootstrap_promise, self.highest_era, self.bootstrap_ack, self.life).hash(state);
+        self.bootstrap_overdue_at.hash(state);
         (&self.persistence, self.last_append_id).hash(state);
     }
 }
@@ -278,6 +281,7 @@
             bootstrap_promise: None,
             highest_era: Era(0),
             bootstrap_ack: None,
+            bootstrap_overdue_at: now + Tenths(hold.0 * BOOTSTRAP_TIMEOUT_HOLDS),
             life,
             bootstrap_at: now,
             catch_up: None,
--- a/crates/stagepond-leadership/src/raft/bootstrap.rs
+++ b/crates/stagepond-leadership/src/raft/bootstrap.rs
@@ -10,7 +10,7 @@
 use crate::wire::{BootstrapStatus, Message};
 
 /// A bootstrap attempt is abandoned after this many hold times ([`Settings::hold_time`]).
-const BOOTSTRAP_TIMEOUT_HOLDS: i64 = 2;
+pub(super) const BOOTSTRAP_TIMEOUT_HOLDS: i64 = 2;
 /// Distance between the eras of one seat. Each seat of the pool starts eras at its own offset, so no two
 /// seats start the same one.
 const ERA_STRIDE: u64 = MAX_POOL_SEATS as u64 + 1;
@@ -248,6 +248,7 @@
         self.events.push(Event::Bootstrapped { era });
         let until = now + Tenths(self.settings.hold_time.0 * BOOTSTRAP_TIMEOUT_HOLDS);
         (self.election_at, self.bootstrap_at) = (until, until + self.jitter());
+        self.bootstrap_overdue_at = until;
         if leader == self.id {
             let acknowledged = BTreeSet::from([self.id.seat]);
             self.role = Role::BootstrapLeader { initiator, acknowledged, until };
--- a/crates/stagepond-leadership/src/raft/catch_up.rs
+++ b/crates/stagepond-leadership/src/raft/catch_up.rs
@@ -22,10 +22,23 @@
 impl RaftNode {
     /// Another instance reported its last committed entry. Fetches what is missing here.
     pub fn on_peer_commit(&mut self, now: Tenths, from: Seat, committed: (Term, Number)) {
+        if committed <= self.committed() || now < self.catch_up_at {
+            return;
+        }
         // An accepted era begins with the log of its leader, which may lack what a peer had committed before.
-        let precedes_era = self.pending_first_term().is_some_and(|first_term| committed.0 < first_term);
-        if committed > self.committed() && now >= self.catch_up_at && !precedes_era {
-            self.start_catch_up(now, from);
+        if self.pending_first_term().is_some_and(|first_term| committed.0 < first_term) {
+            return self.report_pending_era(now, from);
+        }
+        self.start_catch_up(now, from);
+    }
+
+    /// Tells a peer that commits in an earlier era the term of the one that this instance has accepted, once
+    /// that should have begun. A group that goes on without it then moves to a later term, from which this
+    /// instance may fetch: the era can't begin any more, since it needs the whole pool.
+    fn report_pending_era(&mut self, now: Tenths, to: Seat) {
+        if now >= self.bootstrap_overdue_at {
+            let (term, memory) = (self.persistent.term, self.id.memory);
+            self.send(to, Message::VoteAnswer { term, memory, granted: false });
         }
     }
 
--- a/crates/stagepond-leadership/tests/raft.rs
+++ b/crates/stagepond-leadership/tests/raft.rs
@@ -257,3 +257,22 @@
     node.deliver(snapshot_of_peer());
     assert_eq!(node.node.committed(), (FIRST_TERM, Number(1)));
 }
+
+/// A group that goes on without an accepted era must move past it before this instance may fetch again.
+#[rstest]
+fn an_overdue_era_is_reported_to_a_group_that_goes_on_without_it() {
+    let mut node = Scripted::new(false);
+    let era = Era(2000);
+    let era_term = Term::first_of_era(era);
+    node.deliver(Message::BootstrapRequest { era, initiator: INITIATOR });
+    node.deliver(proposal(era));
+    node.fetch_from_peer();
+    assert_eq!(node.sent(), [], "the era may still begin");
+    node.now = node.now + settings(false).hold_time + settings(false).hold_time;
+    node.fetch_from_peer();
+    let report = Message::VoteAnswer { term: era_term, memory: memory_of(NODE), granted: false };
+    assert_eq!(node.sent(), [report]);
+    node.node.on_peer_commit(node.now, PEER, (era_term.next(), LAST_OF_PEER.next()));
+    let after = (FIRST_TERM, Number(1));
+    assert_eq!(node.sent(), [Message::Fetch { after, piece: 0, snapshot_number: Number(0) }]);
+}
