--- a/crates/stagepond-lab/src/leadership/measure.rs
+++ b/crates/stagepond-lab/src/leadership/measure.rs
@@ -199,8 +199,8 @@
     let mut simulation = Simulation::new(config);
     simulation.run_until(Tenths::ms(5000));
     assert_eq!(simulation.invariants.violations, [], "a group without faults violates no invariant");
-    let (committed_before, started) = (simulation.invariants.highest_committed, Instant::now());
+    let (committed_before, started) = (simulation.invariants.committed_entries, Instant::now());
     simulation.run_until(Tenths::ms(1000 * (seconds + 5)));
-    let committed = (simulation.invariants.highest_committed - committed_before) as f64;
+    let committed = (simulation.invariants.committed_entries - committed_before) as f64;
     (committed / seconds as f64, committed / started.elapsed().as_secs_f64())
 }
--- a/crates/stagepond-lab/src/leadership/simulation.rs
+++ b/crates/stagepond-lab/src/leadership/simulation.rs
@@ -16,6 +16,7 @@
 use stagepond_leadership::settings::Settings;
 use stagepond_leadership::wire::{Health, MAX_DATAGRAM_BYTES};
 
+use super::durability::CommandDigest;
 use super::invariants::{InvariantChecker, Violation};
 use crate::clock::{EventQueue, LocalClock};
 use crate::faults::{Fault, ScheduledFault};
@@ -127,11 +128,11 @@
     pub acts: u64,
     /// Actions that the last check of the lease refused.
     pub refused_acts: u64,
-    /// The highest committed entry number.
+    /// Entries that were committed.
     pub decrees: u64,
     /// Times that the group was bootstrapped.
     pub foundings: u64,
-    /// Committed entries that no memory in the pool held any more at a bootstrap.
+    /// Committed entries with numbers above all that a running instance of the pool held at a bootstrap.
     pub lost_with_memory: u64,
     /// Total time in which nobody held a lease, without a period that lasts until the end of the run.
     pub leaderless: Tenths,
@@ -187,15 +188,23 @@
 
 /// A digest of an entry's content, so that the invariant checker needs none of the implementation's types.
 fn entry_digest(entry: &Entry) -> u64 {
+    digest(&format!("{entry:?}"))
+}
+
+/// A digest of an entry's content except its number.
+fn command_digest(entry: &Entry) -> CommandDigest {
+    digest(&format!("{:?}", (entry.term, entry.leader, &entry.command)))
+}
+
+fn digest(text: &str) -> u64 {
     let mut trace = TraceHash::default();
-    trace.add_bytes(format!("{entry:?}").as_bytes());
+    trace.add_bytes(text.as_bytes());
     trace.hash()
 }
 
-/// Whether the log holds the entry with this number and digest, as an entry or within its compacted part.
-fn holds_entry(log: &Log, number: u64, digest: u64) -> bool {
-    number <= log.base_number().0
-        || log.entry(Number(number)).is_some_and(|entry| entry_digest(entry) == digest)
+/// The commands that a log holds as committed: the latest on each subject.
+fn committed_commands(log: &Log) -> BTreeSet<CommandDigest> {
+    log.committed().subjects.values().map(command_digest).collect()
 }
 
 impl Simulation {
@@ -328,7 +337,7 @@
             leaders: invariants.leaders,
             acts: invariants.actions,
             refused_acts: invariants.refused_actions,
-            decrees: invariants.highest_committed,
+            decrees: invariants.committed_entries,
             foundings: invariants.bootstraps,
             lost_with_memory: invariants.entries_lost_with_memory,
             leaderless: Tenths(invariants.leaderless_time),
@@ -349,16 +358,19 @@
         }
     }
 
-    /// The logs that the pool remembers: those of running instances and, of instances that are down, those on
-    /// disk.
-    fn held_logs(&self) -> Vec<Log> {
-        let log_of = |seat: &Seat| {
+    /// The commands that the pool remembers, committed or not: those of running instances and, of instances that
+    /// are down, those on disk.
+    fn held_commands(&self) -> BTreeSet<CommandDigest> {
+        let mut held = BTreeSet::new();
+        for seat in &self.config.settings.pool {
             let node = &self.nodes[usize::from(seat.0)];
-            let running = node.instance.as_ref().map(|instance| instance.raft().log().clone());
             let on_disk = || PersistentState::decode(node.disk.as_deref()?, *seat).map(|state| state.log);
-            running.or_else(on_disk)
-        };
-        self.config.settings.pool.iter().filter_map(log_of).collect()
+            let running = node.instance.as_ref().map(|instance| instance.raft().log().clone());
+            let Some(log) = running.or_else(on_disk) else { continue };
+            held.extend(committed_commands(&log));
+            held.extend(log.entries_after(Number(0)).map(command_digest));
+        }
+        held
     }
 
     /// Checks that there is one leader, that all instances have committed the same entries and that the
@@ -706,10 +718,17 @@
             Effect::BecameLeader(_) => {
                 let committed = self.instance(seat).map_or(0, |i| i.raft().committed().1 .0);
                 self.invariants.on_leader_elected(now, seat, committed);
+                let log = self.instance(seat).map(|instance| instance.raft().log());
+                let held = log.map(committed_commands).unwrap_or_default();
+                self.invariants.on_leader_state(now, seat, &held);
             }
             Effect::Committed { entry, lease } => {
                 self.trace.add_number(entry.number.0 as i64);
                 self.invariants.on_committed(now, seat, entry.number.0, entry_digest(&entry));
+                if let Some(subject) = entry.command.subject() {
+                    let (number, command) = (entry.number.0, command_digest(&entry));
+                    self.invariants.on_command_committed(number, format!("{subject:?}"), command);
+                }
                 if let (Some(lease), true) = (lease, entry.command.subject().is_some()) {
                     // Up to a quarter longer than a lease may be used, so that some actions are too late.
                     let latest = self.config.settings.max_grant_time.0 * 5 / 4;
@@ -719,9 +738,14 @@
                 }
             }
             Effect::Bootstrapped { .. } => {
-                let logs = self.held_logs();
-                let is_held = |number, digest| logs.iter().any(|log| holds_entry(log, number, digest));
-                self.invariants.on_bootstrap(is_held);
+                let last_number =
+                    |node: &Node| node.instance.as_ref().map_or(0, |i| i.raft().log().last().1 .0);
+                let pool = self.config.settings.pool.iter();
+                let highest_held =
+                    pool.map(|s| last_number(&self.nodes[usize::from(s.0)])).max().unwrap_or(0);
+                self.invariants.on_bootstrap(highest_held);
+                let held = self.held_commands();
+                self.invariants.on_bootstrap_of_commands(|command| held.contains(&command));
             }
             Effect::MemberChanged { seat: member, health: Health::Dead } => {
                 self.declared_dead.push((now, seat, member));
--- a/crates/stagepond-leadership/src/ids.rs
+++ b/crates/stagepond-leadership/src/ids.rs
@@ -34,8 +34,8 @@
 
 /// Identifies the bootstrap that a term follows. Later bootstraps have higher eras.
 ///
-/// An era is never below the life, converted to ms, of the process that starts the bootstrap. Eras therefore
-/// rise with the time of day even if every instance lost its state.
+/// An era is above the life, converted to ms, of each process of the pool. Eras therefore rise with the time of
+/// day even if every instance lost its state: a process that lost its state started after that.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Era(pub u64);
 
@@ -68,11 +68,28 @@
     }
 }
 
-/// Raft's log index: the position of an entry in the replicated log, starting at 1, without gaps.
+/// Raft's log index: the position of an entry in the replicated log.
+///
+/// Positions are consecutive within an era. Those of a new era begin at [`Number::first_of_era`], above all that
+/// an earlier era can have given, so that no position is given twice even if every memory of it is lost. An era
+/// in which a process of [`ProtocolVersion::CONSECUTIVE`](crate::wire::ProtocolVersion::CONSECUTIVE) takes part
+/// continues the positions of the era before.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Number(pub u64);
 
+/// Positions for each ms between two eras, as a power of two: 1024, some ten times more than a group commits.
+/// With eras in ms since 1970, positions stay below 2^53, and so exact in JSON, until the year 2248.
+const NUMBER_BITS: u32 = 10;
+
 impl Number {
+    /// The lowest position of an era's own.
+    pub fn first_of_era(era: Era) -> Number {
+        Number(era.0 << NUMBER_BITS)
+    }
+    /// The latest era whose first position is not above this one.
+    pub fn era(self) -> Era {
+        Era(self.0 >> NUMBER_BITS)
+    }
     /// The position after this one.
     pub fn next(self) -> Number {
         Number(self.0 + 1)
--- a/crates/stagepond-leadership/src/instance.rs
+++ b/crates/stagepond-leadership/src/instance.rs
@@ -346,6 +346,7 @@
             return self.on_unknown_process(now, from, life, message, outbox);
         }
         self.members.on_heard_from(now, from, life);
+        self.raft.on_peer_protocol(from, opened.protocol);
         match message {
             Message::Hello => outbox.push((from, Message::Welcome { highest_life: life })),
             Message::Welcome { .. } => {
--- a/crates/stagepond-leadership/src/raft.rs
+++ b/crates/stagepond-leadership/src/raft.rs
@@ -164,7 +164,7 @@
     BecameLeader(LeaderLease),
     /// This instance no longer leads.
     SteppedDown { term: Term, reason: &'static str },
-    /// An entry was committed; the leader of its term gets a lease with it.
+    /// An entry was committed, under the position that it has here; the leader of its term gets a lease with it.
     Committed { entry: Entry, lease: Option<LeaderLease> },
     /// A snapshot was installed; all that it holds is committed.
     SnapshotInstalled { number: Number },
@@ -228,6 +228,8 @@
     bootstrap_promise: Option<BootstrapPromise>,
     /// The highest era seen in any message.
     highest_era: Era,
+    /// Processes of an earlier protocol version, by seat.
+    older_peers: BTreeMap<Seat, ProtocolVersion>,
     bootstrap_ack: Option<BootstrapAck>,
     /// When an era that this instance has accepted should have begun.
     bootstrap_overdue_at: Tenths,
@@ -251,7 +253,7 @@
             .hash(state);
         (self.bootstrap_promise, self.highest_era, self.bootstrap_ack, self.life).hash(state);
         self.bootstrap_overdue_at.hash(state);
-        (&self.persistence, self.last_append_id).hash(state);
+        (&self.persistence, self.last_append_id, &self.older_peers).hash(state);
     }
 }
 
@@ -280,6 +282,7 @@
             bootstrap: None,
             bootstrap_promise: None,
             highest_era: Era(0),
+            older_peers: BTreeMap::new(),
             bootstrap_ack: None,
             bootstrap_overdue_at: now + Tenths(hold.0 * BOOTSTRAP_TIMEOUT_HOLDS),
             life,
@@ -356,6 +359,20 @@
         (opened && !transferring && lease.check(now).is_ok()).then_some(lease)
     }
 
+    /// A datagram arrived from a process of this protocol version. A process that was not reported counts as one
+    /// of the current version.
+    pub fn on_peer_protocol(&mut self, seat: Seat, protocol: ProtocolVersion) {
+        if protocol < ProtocolVersion::CURRENT {
+            self.older_peers.insert(seat, protocol);
+        } else {
+            self.older_peers.remove(&seat);
+        }
+    }
+
+    fn protocol_of(&self, seat: Seat) -> ProtocolVersion {
+        self.older_peers.get(&seat).copied().unwrap_or(ProtocolVersion::CURRENT)
+    }
+
     fn jitter(&mut self) -> Tenths {
         Tenths(self.rng.i64(0..=self.settings.round_trip.0))
     }
--- a/crates/stagepond-leadership/src/raft/bootstrap.rs
+++ b/crates/stagepond-leadership/src/raft/bootstrap.rs
@@ -4,16 +4,19 @@
 
 use super::{Event, RaftNode, Role};
 use crate::ids::*;
-use crate::log::Voters;
+use crate::log::{EraNumbering, Voters};
 use crate::members::Members;
+use crate::planted::Fault;
 use crate::settings::MAX_POOL_SEATS;
-use crate::wire::{BootstrapStatus, Message};
+use crate::wire::{BootstrapStatus, Message, ProtocolVersion};
 
 /// A bootstrap attempt is abandoned after this many hold times ([`Settings::hold_time`]).
 pub(super) const BOOTSTRAP_TIMEOUT_HOLDS: i64 = 2;
 /// Distance between the eras of one seat. Each seat of the pool starts eras at its own offset, so no two
 /// seats start the same one.
 const ERA_STRIDE: u64 = MAX_POOL_SEATS as u64 + 1;
+/// A life is a time of day in tenths of a ms.
+const LIFE_UNITS_PER_MS: u64 = 10;
 /// After this many hold times without a leader a bootstrap is tried even if a quorum of voters seems alive.
 const LEADERLESS_HOLDS_BEFORE_BOOTSTRAP: i64 = 12;
 
@@ -45,6 +48,11 @@
     pub(super) resend_at: Tenths,
 }
 
+/// The start of a process as an era: in ms.
+fn era_of_start(life: Life) -> Era {
+    Era(life.0 / LIFE_UNITS_PER_MS)
+}
+
 impl RaftNode {
     /// Whether an era was accepted whose configuration is not in the log yet.
     pub(super) fn is_bootstrap_pending(&self) -> bool {
@@ -86,12 +94,16 @@
         if self.is_leader() || is_over {
             self.bootstrap = None;
         }
+        let latest_start = self.latest_start_in_pool(members);
         if let Some(bootstrap) = &self.bootstrap {
             if now >= bootstrap.until {
                 // Only this process could propose the era's configuration and it no longer will, so its own
                 // promise is void.
                 (self.bootstrap, self.bootstrap_promise) = (None, None);
                 self.bootstrap_at = now + self.settings.hold_time + self.jitter();
+            } else if bootstrap.proposal.is_none() && bootstrap.era <= latest_start {
+                // A process that started since would refuse the era.
+                self.start_bootstrap(now, latest_start);
             } else if now >= bootstrap.resend_at {
                 self.send_bootstrap_messages(now);
             }
@@ -102,8 +114,10 @@
         }
         self.bootstrap_at = now + Tenths(self.settings.hold_time.0 / 2) + self.jitter();
         let pool = self.bootstrap_pool();
-        let Some(index) = pool.iter().position(|seat| *seat == self.id.seat) else { return };
-        if self.is_leader() || matches!(self.role, Role::BootstrapLeader { .. }) {
+        if !pool.contains(&self.id.seat)
+            || self.is_leader()
+            || matches!(self.role, Role::BootstrapLeader { .. })
+        {
             return;
         }
         let leaderless = now >= self.hold_until;
@@ -114,26 +128,59 @@
         let quorum_lost = self.is_bootstrap_pending() || stuck || !self.quorum_seems_alive(members);
         let is_lowest = pool.iter().find(|seat| members.is_alive(**seat)) == Some(&self.id.seat);
         if is_lowest && (first_start || leaderless && quorum_lost) {
-            // The index in the pool makes the era unique to this seat. The era is not below the start time of
-            // this process in ms, so eras rise even if no instance has the last one in its persistent state.
-            let started = Era(self.life.0 / 10);
-            let past = started.max(self.highest_era).max(self.persistent.term.era()).0;
-            let era = Era((past / ERA_STRIDE + 1) * ERA_STRIDE + index as u64);
-            let until = now + Tenths(hold.0 * BOOTSTRAP_TIMEOUT_HOLDS);
-            self.bootstrap_promise = Some(BootstrapPromise { era, initiator: self.life });
-            self.highest_era = era;
-            let answers = BTreeMap::from([(self.id.seat, self.bootstrap_status())]);
-            self.bootstrap = Some(Bootstrap { era, answers, proposal: None, until, resend_at: now });
-            self.send_bootstrap_messages(now);
+            self.start_bootstrap(now, latest_start);
         }
     }
 
+    /// The latest start of a process of the pool, as far as the failure detector knows, as an era.
+    fn latest_start_in_pool(&self, members: &Members) -> Era {
+        let pool = self.bootstrap_pool();
+        let lives = pool.iter().filter_map(|seat| Some(members.state(*seat)?.life));
+        lives.map(era_of_start).max().unwrap_or_default()
+    }
+
+    /// Asks the pool for the promises to a new era above `latest_start`.
+    fn start_bootstrap(&mut self, now: Tenths, latest_start: Era) {
+        // The index in the pool makes the era unique to this seat.
+        let pool = self.bootstrap_pool();
+        let Some(index) = pool.iter().position(|seat| *seat == self.id.seat) else { return };
+        let past = latest_start.max(self.highest_era).max(self.highest_past_era()).0;
+        let era = Era((past / ERA_STRIDE + 1) * ERA_STRIDE + index as u64);
+        let until = now + Tenths(self.settings.hold_time.0 * BOOTSTRAP_TIMEOUT_HOLDS);
+        self.bootstrap_promise = Some(BootstrapPromise { era, initiator: self.life });
+        self.highest_era = era;
+        let answers = BTreeMap::from([(self.id.seat, self.bootstrap_status())]);
+        self.bootstrap = Some(Bootstrap { era, answers, proposal: None, until, resend_at: now });
+        self.send_bootstrap_messages(now);
+    }
+
+    /// A new era must be above this one.
+    ///
+    /// It is not below the start of this process. What an earlier process at this seat forgot was given before
+    /// that, so the positions of a new era are above it. They are above those in this instance's log, too.
+    fn highest_past_era(&self) -> Era {
+        let of_log = self.persistent.log.last().1.era();
+        era_of_start(self.life).max(self.persistent.term.era()).max(of_log)
+    }
+
     /// What this instance tells the initiator of a bootstrap about its state.
     fn bootstrap_status(&self) -> BootstrapStatus {
-        let era = self.highest_era.max(self.persistent.term.era());
+        let era = self.highest_era.max(self.highest_past_era());
         BootstrapStatus { era, memory: self.id.memory, last: self.persistent.log.last() }
     }
 
+    /// How the entries of an era that this instance opens are numbered. A process that stores consecutive
+    /// positions only could not follow otherwise.
+    pub(super) fn era_numbering(&self) -> EraNumbering {
+        let stores_gaps = |seat: &Seat| self.protocol_of(*seat) > ProtocolVersion::CONSECUTIVE;
+        let can_all_follow = self.bootstrap_pool().iter().all(stores_gaps);
+        if can_all_follow && !self.planted.has(Fault::EraContinuesPositions) {
+            EraNumbering::Own
+        } else {
+            EraNumbering::Consecutive
+        }
+    }
+
     /// Sends the proposal to the whole pool, or, while there is none, the request to those that have not
     /// answered.
     fn send_bootstrap_messages(&mut self, now: Tenths) {
@@ -155,13 +202,13 @@
     }
 
     /// Answers a request to promise that this instance takes part in no era before `era`. Refuses if it has a
-    /// leader, has promised a later era, has a term of this era or a later one, or is not in the pool.
+    /// leader, has promised a later era, knows that the era is not a new one, or is not in the pool.
     pub(super) fn on_bootstrap_request(&mut self, now: Tenths, from: Seat, era: Era, initiator: Life) {
         let has_leader = self.is_leader() || (self.leader.is_some() && now < self.hold_until);
         let promised_later = self.bootstrap_promise.is_some_and(|promise| promise.era > era);
         let refused = has_leader
             || promised_later
-            || era <= self.persistent.term.era()
+            || era <= self.highest_past_era()
             || !self.settings.pool.contains(&self.id.seat);
         if !refused {
             self.bootstrap_promise = Some(BootstrapPromise { era, initiator });
@@ -211,8 +258,13 @@
         }
         let (era, answers) = (bootstrap.era, bootstrap.answers.clone());
         let by_log = |(seat, status): &(&Seat, &BootstrapStatus)| (status.last, std::cmp::Reverse(**seat));
-        let Some((seat, longest)) = answers.iter().max_by_key(by_log) else { return };
-        let leader = Voter { seat: *seat, memory: longest.memory };
+        let chosen = if self.planted.has(Fault::ShortestLogLeads) {
+            answers.iter().min_by_key(by_log)
+        } else {
+            answers.iter().max_by_key(by_log)
+        };
+        let Some((seat, status)) = chosen else { return };
+        let leader = Voter { seat: *seat, memory: status.memory };
         let mut voters = vec![leader];
         let others = answers.iter().map(|(seat, status)| Voter { seat: *seat, memory: status.memory });
         voters.extend(others.filter(|v| *v != leader).take(self.settings.voter_count - 1));
--- a/crates/stagepond-leadership/src/raft/catch_up.rs
+++ b/crates/stagepond-leadership/src/raft/catch_up.rs
@@ -52,21 +52,22 @@
         }
     }
 
-    /// Answers with committed entries if all that the peer lacks are still kept, otherwise with a piece of
-    /// the snapshot.
+    /// Answers with committed entries if the next ones that the peer lacks are still kept and can be committed one
+    /// by one, otherwise with a piece of the snapshot.
     pub(super) fn on_fetch(
         &mut self, from: Seat, after: (Term, Number), piece: u16, snapshot_number: Number,
     ) {
         let log = &self.persistent.log;
-        let has_entries = log.term_at(after.1) == Some(after.0) && after.1 >= log.base_number();
-        if has_entries && snapshot_number == Number(0) {
-            let committed = log.entries_after(after.1).take_while(|e| e.number <= log.commit_number());
-            let entries = take_fitting(committed, MAX_BODY_BYTES - FETCHED_ENTRIES_OVERHEAD);
-            if !entries.is_empty() {
-                self.send(from, Message::FetchedEntries { entries });
-            }
+        if snapshot_number == Number(0) && after >= self.committed() {
             return;
         }
+        let transferable = log.transferable_after(after).filter(|_| snapshot_number == Number(0));
+        let entries = transferable
+            .map(|entries| take_fitting(entries, MAX_BODY_BYTES - FETCHED_ENTRIES_OVERHEAD))
+            .unwrap_or_default();
+        if !entries.is_empty() {
+            return self.send(from, Message::FetchedEntries { entries });
+        }
         let snapshot = ::postcard::to_allocvec(log.committed()).expect("plain values have an encoding");
         let total = snapshot.len().div_ceil(SNAPSHOT_PIECE_BYTES);
         // The snapshot may have changed since the first piece was sent; then it is sent from the start again.
--- a/crates/stagepond-leadership/src/raft/election.rs
+++ b/crates/stagepond-leadership/src/raft/election.rs
@@ -78,9 +78,13 @@
         let voters = self.voters();
         let followers =
             voters.iter().filter(|v| *v != self.id).map(|v| (v, Progress::new(now, next_number))).collect();
-        let first_of_era = self.is_bootstrap_pending();
-        let command = if first_of_era { Command::Voters(voters) } else { Command::Opening };
-        let opening_number = self.persistent.log.append(self.persistent.term, self.id.seat, command);
+        let (term, own_seat) = (self.persistent.term, self.id.seat);
+        let opening_number = if self.is_bootstrap_pending() {
+            let numbering = self.era_numbering();
+            self.persistent.log.append_opening(term, own_seat, voters, numbering)
+        } else {
+            self.persistent.log.append(term, own_seat, Command::Opening)
+        };
         self.persistence.mark_dirty();
         self.leader = Some(self.id.seat);
         self.bootstrap = None;
--- a/crates/stagepond-leadership/src/raft/replication.rs
+++ b/crates/stagepond-leadership/src/raft/replication.rs
@@ -38,14 +38,13 @@
         let log = &self.persistent.log;
         // Entries up to the base are compacted. A follower that needs them sees the commit index and fetches
         // them.
-        let previous_number = Number(progress.next_number.0.saturating_sub(1)).max(log.base_number());
-        let previous_term = log.term_at(previous_number).unwrap_or_default();
+        let previous = log.previous_of(progress.next_number);
         let (term, memory, append_id) = (self.persistent.term, self.id.memory, self.last_append_id);
-        let (previous, commit) = ((previous_term, previous_number), log.commit_number());
+        let commit = log.commit_number();
         let append_with =
             |entries| Message::AppendRequest { term, memory, append_id, previous, commit, entries };
         let room = MAX_BODY_BYTES - append_with(Vec::new()).encode().len();
-        let message = append_with(take_fitting(log.entries_after(previous_number), room));
+        let message = append_with(take_fitting(log.entries_after(previous.1), room));
         self.send(voter.seat, message);
     }
 
@@ -83,20 +82,26 @@
         let consistent = previous.1 <= log.commit_number() || log.term_at(previous.1) == Some(previous.0);
         let mut matched = None;
         if consistent {
-            let mut last_matched = previous.1;
+            let mut last_matched = previous;
             let mut changed = false;
             for entry in entries {
-                if entry.number != last_matched.next() || entry.term > term {
+                if !entry.follows(last_matched) || entry.term > term {
                     break;
                 }
-                last_matched = entry.number;
-                changed |= log.store(entry);
+                let position = (entry.term, entry.number);
+                changed |= log.store(last_matched.1, entry);
+                last_matched = position;
             }
+            let commit = commit.min(last_matched.1);
+            // What an earlier era left uncommitted is committed with the entry that opens the leader's era.
+            let has_opening = log.term_at(commit).is_some_and(|t| t.era() == term.era());
             if changed {
                 self.persistence.mark_dirty();
             }
-            matched = Some(last_matched);
-            self.commit_up_to(now, commit.min(last_matched));
+            matched = Some(last_matched.1);
+            if has_opening {
+                self.commit_up_to(now, commit);
+            }
         } else if commit > log.commit_number() {
             self.start_catch_up(now, from);
         }
@@ -134,7 +139,7 @@
             }
             // The follower's committed entries equal the leader's; the entries after them may differ.
             None => {
-                let previous = Number(progress.next_number.0.saturating_sub(1));
+                let previous = self.persistent.log.previous_of(progress.next_number).1;
                 let back = Number(previous.0.saturating_sub(1)).min(last);
                 progress.next_number = back.max(commit).max(progress.match_number).next();
                 false
--- a/crates/stagepond-leadership/src/seal.rs
+++ b/crates/stagepond-leadership/src/seal.rs
@@ -13,7 +13,8 @@
 //! | 2 | zero |
 //! | 2 + 2 | seat of the sender, seat of the recipient |
 //! | 8 + 8 | life of the sender, life of the recipient |
-//! | 8 | counter, raised by the sender with each datagram |
+//! | 7 | counter, raised by the sender with each datagram |
+//! | 1 | the sender's [`ProtocolVersion`]; receivers of version 0 take it for a part of the counter |
 //! | any | body |
 //! | 16 | HMAC-SHA-256 (RFC 2104, FIPS 180-4) of all before, truncated (RFC 2104, section 5) |
 
@@ -21,12 +22,14 @@
 use sha2::Sha256;
 
 use crate::ids::{Life, Seat, Tenths};
-use crate::wire::{MAX_DATAGRAM_BYTES, SEAL_BYTES};
+use crate::wire::{ProtocolVersion, MAX_DATAGRAM_BYTES, SEAL_BYTES};
 
 /// The first byte of every sealed datagram. No message of the decision module begins with it.
 pub const FORMAT_BYTE: u8 = 0xD7;
 const HEADER_BYTES: usize = 32;
 const CODE_BYTES: usize = 16;
+/// Where the protocol version begins in the eight bytes of the counter.
+const PROTOCOL_SHIFT: u32 = 56;
 const _: () = assert!(HEADER_BYTES + CODE_BYTES == SEAL_BYTES);
 /// Shortest secret that is accepted, in bytes.
 const MIN_SECRET_BYTES: usize = 32;
@@ -161,6 +164,8 @@
     /// Whether it is addressed to this process, not to an earlier one at this seat. If not, it may be a replay
     /// of an old datagram, and only `Hello` and `Welcome` may be acted on.
     pub to_me: bool,
+    /// The protocol version that the sender speaks.
+    pub protocol: ProtocolVersion,
     /// The encoded message.
     pub body: &'a [u8],
 }
@@ -170,7 +175,7 @@
     own_seat: Seat,
     life: Life,
     keys: KeySet,
-    /// The counter of the last datagram sent.
+    /// The counter of the last datagram sent, with the protocol version.
     sent: u64,
     /// By seat.
     peers: Vec<Peer>,
@@ -186,7 +191,8 @@
     /// A sealer for the process `life` at the seat `own_seat` of a group with `seats` seats.
     pub fn new(own_seat: Seat, life: Life, seats: u16, keys: KeySet) -> Sealer {
         let peers = vec![Peer::default(); usize::from(seats)];
-        Sealer { own_seat, life, keys, sent: 0, peers, dropped: Default::default() }
+        let sent = u64::from(ProtocolVersion::CURRENT.0) << PROTOCOL_SHIFT;
+        Sealer { own_seat, life, keys, sent, peers, dropped: Default::default() }
     }
 
     /// The keys, to rotate or accept others.
@@ -269,7 +275,8 @@
         let (sealed, code) = bytes.split_at(bytes.len() - CODE_BYTES);
         key.mac(sealed).verify_truncated_left(code).map_err(|_| DropReason::Forged)?;
         let to_me = to_life == self.life;
-        let opened = OpenedDatagram { from, life, to_me, body: &sealed[HEADER_BYTES..] };
+        let protocol = ProtocolVersion((counter >> PROTOCOL_SHIFT) as u8);
+        let opened = OpenedDatagram { from, life, to_me, protocol, body: &sealed[HEADER_BYTES..] };
         // A datagram to an earlier process here may be a replay, so it must not change what is known of the
         // sender. The caller only answers it.
         if !opened.to_me {
@@ -358,6 +365,16 @@
         assert!(!restarted_b.open(NOW, &old).unwrap().to_me);
     }
 
+    #[rstest]
+    fn the_protocol_version_of_the_sender_is_known() {
+        let (mut a, mut b) = pair();
+        let current = a.seal(Seat(1), b"");
+        assert_eq!(b.open(NOW, &current).unwrap().protocol, ProtocolVersion::CURRENT);
+        let mut older = Sealer { life: Life(11), sent: 0, ..pair().0 };
+        let consecutive = older.seal(Seat(1), b"");
+        assert_eq!(b.open(NOW, &consecutive).unwrap().protocol, ProtocolVersion::CONSECUTIVE);
+    }
+
     #[rstest]
     fn keys_are_rotated_under_traffic() {
         let (mut a, mut b) = pair();
--- a/crates/stagepond-leadership/src/wire.rs
+++ b/crates/stagepond-leadership/src/wire.rs
@@ -25,6 +25,17 @@
 /// Bytes reserved for the rest of a message that carries gossip: its variant, nonce and target.
 const GOSSIP_MESSAGE_OVERHEAD: usize = 12;
 
+/// The version of the protocol that a process speaks. Messages have the same form in all versions.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct ProtocolVersion(pub u8);
+
+impl ProtocolVersion {
+    /// Positions of the log are consecutive across eras.
+    pub const CONSECUTIVE: ProtocolVersion = ProtocolVersion(0);
+    /// The positions of an era may begin above those of the era before.
+    pub const CURRENT: ProtocolVersion = ProtocolVersion(1);
+}
+
 /// The health of a member: SWIM's states (Das, Gupta and Motivala 2002, section 4.2), and `Left` for a member
 /// that announced its shutdown. A later variant overrides an earlier one of the same incarnation.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
@@ -293,7 +304,8 @@
     fn longest_messages_fit_into_a_datagram() {
         let voter = |n: u16| Voter { seat: Seat(60_000 + n), memory: Memory((1 << 45) + u64::from(n)) };
         let voters = Voters { now: (0..7).map(voter).collect(), change: Some((voter(0), voter(8))) };
-        let (term, number) = (Term::first_of_era(Era(1 << 43)), Number(1 << 40));
+        let era = Era(1 << 43);
+        let (term, number) = (Term::first_of_era(era), Number::first_of_era(era));
         let entry = Entry {
             term,
             number,
