--- a/crates/stagepond-leadership/tests/bootstrap.rs
+++ b/crates/stagepond-leadership/tests/bootstrap.rs
@@ -5,8 +5,8 @@
 use rstest::rstest;
 use scripted::*;
 use stagepond_leadership::ids::*;
-use stagepond_leadership::log::{Command, Entry, Log};
-use stagepond_leadership::raft::Event;
+use stagepond_leadership::log::{Command, Entry, EraNumbering, Log};
+use stagepond_leadership::raft::{Event, PersistentState};
 use stagepond_leadership::wire::{Message, ProtocolVersion};
 
 /// The process at the peer's seat, as the initiator of a bootstrap.
@@ -210,6 +210,19 @@
     assert_eq!(entries[0].number, position_in_new_era(3));
 }
 
+/// What is on disk has the begin of an era in the middle of its log, or goes on as the build before wrote it.
+#[rstest]
+#[case::own(EraNumbering::Own, position_in_new_era(2))]
+#[case::consecutive(EraNumbering::Consecutive, Number(4))]
+fn a_state_with_two_eras_is_read_back(#[case] numbering: EraNumbering, #[case] opening: Number) {
+    let mut log = log_with_two_uncommitted();
+    assert_eq!(log.append_opening(NEW_TERM, NODE, voters(), numbering), opening);
+    let persistent = PersistentState { term: NEW_TERM, log, ..PersistentState::empty(NODE, memory_of(NODE)) };
+    let read = PersistentState::decode(&persistent.encode(), NODE).expect("the state is valid");
+    assert_eq!(read, persistent);
+    assert_eq!(read.log.uncommitted_len(), 3);
+}
+
 /// An era's positions must be above what this instance holds, and above what an earlier process at its seat may
 /// have held.
 #[rstest]
