--- a/crates/stagepond-leadership/src/log.rs
+++ b/crates/stagepond-leadership/src/log.rs
@@ -272,15 +272,17 @@
     /// The position under which the entry at `offset` is committed: its own, or one of the latest era that
     /// began while it was uncommitted.
     fn commit_position(&self, offset: usize) -> Number {
+        let entry = &self.entries[offset];
+        if self.last().0.era() == entry.term.era() {
+            return entry.number;
+        }
         let distance_to_opening = |opening: usize| {
             let own_offset = self.entries[opening].own_offset_in_era(self.before(opening).0)?;
             let distance = (opening - offset) as u64;
             (distance <= own_offset).then_some((opening, distance))
         };
         let opening = (offset + 1..self.entries.len()).rev().find_map(distance_to_opening);
-        opening.map_or(self.entries[offset].number, |(opening, distance)| {
-            Number(self.entries[opening].number.0 - distance)
-        })
+        opening.map_or(entry.number, |(opening, distance)| Number(self.entries[opening].number.0 - distance))
     }
 
     /// The term of the entry at a position; `None` if it is no longer or not yet known.
