--- /dev/null
+++ b/crates/stagepond-sidecar/tests/program/shutdown.rs
@@ -0,0 +1,66 @@
+//! Tests of the shutdown after SIGTERM.
+
+use nix::sys::signal::Signal;
+use rstest::rstest;
+use serde_json::json;
+
+use crate::harness::*;
+
+#[rstest]
+#[tokio::test]
+async fn planned_stop_under_traffic_loses_no_invocation() {
+    let mut pod = start_pod().await;
+    let mut sidecar = Sidecar::start(&[pod.address]).await;
+    let (mut busy, mut idle) = (sidecar.connect_client().await, sidecar.connect_client().await);
+    invoke_successfully(&mut idle, &mut pod).await;
+    busy.send(LOOKUP).await;
+    let request = pod.next_request().await;
+    sidecar.send_signal(Signal::SIGTERM);
+    sidecar.wait_for_log("state=Leaving").await;
+    // The client of the idle connection can't know of the signal; only an answer tells it to go elsewhere.
+    idle.send(LOOKUP).await;
+    pod.next_request().await.respond("200 OK", "", "for the idle one");
+    let (status, text) = idle.read_response().await;
+    assert!(status == 200 && text.contains("connection: close"), "{text}");
+    assert_eq!(idle.read_response().await.0, 0);
+    let (mut probe, mut late) = (sidecar.connect_client().await, sidecar.connect_client().await);
+    assert_eq!(probe.exchange(READY_REQUEST).await.0, 503);
+    late.send(LOOKUP).await;
+    pod.next_request().await.respond("200 OK", "", "for the late one");
+    assert_eq!(late.read_response().await.0, 200);
+    sidecar.wait_for_log("state=Draining").await;
+    request.respond("200 OK", "", "for the busy one");
+    assert!(busy.read_response().await.1.ends_with("for the busy one"));
+    sidecar.wait_for_log("state=Stopped").await;
+    let status = tokio::time::timeout(EVENT_TIMEOUT, sidecar.child.wait())
+        .await
+        .expect("the sidecar has not ended in time")
+        .unwrap();
+    assert!(status.success());
+}
+
+#[rstest]
+#[case::incomplete_head("GET /lookup HTTP/1.1\r\nX-Requ")]
+#[case::incomplete_body(
+    "POST /order HTTP/1.1\r\nX-Request-ID: 1\r\nX-Priority-Class: order\r\nX-Timeout-Ms: 9000\r\n\
+                     Content-Length: 9\r\n\r\nhalf"
+)]
+#[tokio::test]
+async fn request_that_is_not_whole_when_the_sidecar_exits_is_refused_with_an_answer(#[case] sent: &str) {
+    let mut pod = start_pod().await;
+    let mut sidecar = Sidecar::start_with(&[pod.address], |config| {
+        for operation in config["settings"]["classes"].as_array_mut().unwrap() {
+            operation["deadline_ms"] = json!(1000.0);
+        }
+    })
+    .await;
+    let mut client = sidecar.connect_client().await;
+    invoke_successfully(&mut client, &mut pod).await;
+    sidecar.send_signal(Signal::SIGTERM);
+    sidecar.wait_for_log("state=Draining").await;
+    client.send(sent).await;
+    let (status, text) = client.read_response().await;
+    assert!(status == 503 && text.contains("connection: close"), "{text}");
+    sidecar.wait_for_log("state=Stopped").await;
+    assert_eq!(count_requests(&mut pod), 0);
+}
