--- a/crates/stagepond-sidecar/src/client_connections.rs
+++ b/crates/stagepond-sidecar/src/client_connections.rs
@@ -102,6 +102,11 @@
     pub used: usize,
     /// Connections with an open invocation.
     pub open: usize,
+    /// Connections that may be evicted to make room.
+    pub evictable: usize,
+    /// Connections without an open invocation on which a whole request counts as unanswered. They can't be
+    /// refused, so one that stays so keeps its place.
+    pub unanswered: usize,
 }
 
 /// All client connections.
@@ -150,11 +155,16 @@
     }
 
     /// Counts for the log.
-    pub fn counts(&self) -> ConnectionCounts {
+    pub fn counts(&self, now: Tenths) -> ConnectionCounts {
+        let count = |matches: &dyn Fn(&ClientConnection) -> bool| {
+            self.connections.values().filter(|connection| matches(connection)).count()
+        };
         ConnectionCounts {
             all: self.connections.len(),
-            used: self.connections.values().filter(|c| c.invocations > 0).count(),
-            open: self.connections.values().filter(|c| c.idle_since.is_none()).count(),
+            used: count(&|c| c.invocations > 0),
+            open: count(&|c| c.idle_since.is_none()),
+            evictable: count(&|c| c.is_evictable(now)),
+            unanswered: count(&|c| c.idle_since.is_some() && !c.trace.is_all_answered(c.answered)),
         }
     }
 
--- a/crates/stagepond-sidecar/src/frontend.rs
+++ b/crates/stagepond-sidecar/src/frontend.rs
@@ -228,11 +228,15 @@
         if connections.has_room() {
             return true;
         }
-        connections.make_room(self.clock.now());
-        let ConnectionCounts { all, used, open } = connections.counts();
-        self.warnings.warn(format_args!(
-            "clients: {all} is the bound; {used} have sent an invocation, {open} have one open"
-        ));
+        let now = self.clock.now();
+        connections.make_room(now);
+        self.warnings.warn_with(|| {
+            let ConnectionCounts { all, used, open, evictable, unanswered } = connections.counts(now);
+            format!(
+                "clients: {all} is the bound; {used} have sent an invocation, {open} have one open, \
+                 {evictable} may make room, {unanswered} can't be refused"
+            )
+        });
         false
     }
 
@@ -294,6 +298,7 @@
     /// Answers the request that is on its way with a refusal. Returns whether the connection is to end.
     fn refuse(&self, id: ConnectionId, trace: &ConnectionTrace) -> bool {
         let refusable = self.connections().may_be_refused(id);
+        tracing::debug!(event = "asked_to_end", connection = id.0, ends = refusable, "client");
         if refusable {
             // If the client has gone, nobody is left to be refused.
             let _ = trace.try_write(REFUSAL);
--- a/crates/stagepond-sidecar/src/stream.rs
+++ b/crates/stagepond-sidecar/src/stream.rs
@@ -83,6 +83,11 @@
 impl RateLimitedLog {
     /// Logs a warning, or counts it if the last line is less than a second old.
     pub fn warn(&self, warning: impl Display) {
+        self.warn_with(|| warning);
+    }
+
+    /// Like [`RateLimitedLog::warn`], with a warning that is made only if it is logged.
+    pub fn warn_with<Warning: Display>(&self, make_warning: impl FnOnce() -> Warning) {
         let mut state = self.0.lock().expect("no holder of the lock panics");
         if state.last_warning.is_some_and(|last| last.elapsed() < MIN_WARNING_INTERVAL) {
             state.suppressed += 1;
@@ -91,6 +96,6 @@
         let left_out = std::mem::take(&mut state.suppressed);
         state.last_warning = Some(Instant::now());
         drop(state);
-        tracing::warn!(left_out, "{warning}");
+        tracing::warn!(left_out, "{}", make_warning());
     }
 }
