--- a/crates/stagepond-sidecar/src/client_connections.rs
+++ b/crates/stagepond-sidecar/src/client_connections.rs
@@ -176,7 +176,7 @@
         }
     }
 
-    /// Records that the invocation of this connection has got its answer.
+    /// Records that a request of this connection has got its answer, an invocation or any other.
     pub fn on_answered(&mut self, id: ConnectionId, now: Tenths) {
         if let Some(connection) = self.connections.get_mut(&id) {
             connection.idle_since = Some(now);
@@ -184,12 +184,11 @@
         }
     }
 
-    /// Records an answered readiness check.
-    pub fn on_ready_asked(&mut self, id: ConnectionId, now: Tenths) {
+    /// Records that the client has asked whether the sidecar is ready.
+    pub fn on_ready_asked(&mut self, id: ConnectionId) {
         if let Some(connection) = self.connections.get_mut(&id) {
             connection.asked_ready = true;
         }
-        self.on_answered(id, now);
     }
 
     /// Whether no request is in progress on the connection and none has arrived unread. It looks at the
--- a/crates/stagepond-sidecar/src/frontend.rs
+++ b/crates/stagepond-sidecar/src/frontend.rs
@@ -13,8 +13,9 @@
 use anyhow::{Context, Result};
 use axum::body::Body;
 use axum::extract::{Extension, Request, State as Shared};
+use axum::middleware::{self, Next};
 use axum::response::{IntoResponse, Response};
-use axum::routing::{any, get};
+use axum::routing::get;
 use axum::Router;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::header::{self, HeaderName, HeaderValue};
@@ -176,10 +177,12 @@
     }
 
     async fn accept_connections(self: Arc<Frontend>, listener: TcpListener) {
+        // Each request but a readiness check is an invocation or rejected as one, whatever its path, so that no
+        // answer is made by the router itself.
         let router = Router::new()
-            .route("/ready", get(ready))
-            .route("/{operation}", any(invoke))
-            .route("/{operation}/{*rest}", any(invoke))
+            .route("/ready", get(ready).fallback(reject_ready_method))
+            .fallback(invoke)
+            .layer(middleware::from_fn_with_state(self.clone(), track_answer))
             .with_state(self.clone());
         loop {
             self.wait_for_room().await;
@@ -323,13 +326,37 @@
 async fn ready(
     Shared(frontend): Shared<Arc<Frontend>>, Extension(connection): Extension<ConnectionHandle>,
 ) -> Response {
-    frontend.connections().on_ready_asked(connection.id, frontend.clock.now());
+    frontend.connections().on_ready_asked(connection.id);
     let status =
         if frontend.ready.load(Ordering::Relaxed) { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
-    if frontend.closes_after_answer(connection.id) {
-        close_after(status.into_response())
+    status.into_response()
+}
+
+/// Rejects a request for `/ready` with another method than GET or HEAD: 405.
+async fn reject_ready_method() -> Response {
+    close_after(StatusCode::METHOD_NOT_ALLOWED.into_response())
+}
+
+/// Wraps the handling of every request. Counts the answer, whichever handler made it, so that the connection
+/// is known to be between two requests again; and closes the connection if its place is needed or if the
+/// beginning of its next message can't be known.
+async fn track_answer(
+    Shared(frontend): Shared<Arc<Frontend>>, Extension(connection): Extension<ConnectionHandle>,
+    request: Request, next: Next,
+) -> Response {
+    // Without a Content-Length only the HTTP library knows where the next message begins, so none is read.
+    let is_chunked = request.headers().contains_key(header::TRANSFER_ENCODING);
+    let response = if connection.trace.has_ambiguous_length() {
+        close_after(bad_request("the length of the body is given more than once").into_response())
+    } else {
+        next.run(request).await
+    };
+    frontend.connections().on_answered(connection.id, frontend.clock.now());
+    frontend.connections_changed.notify_one();
+    if is_chunked || frontend.closes_after_answer(connection.id) {
+        close_after(response)
     } else {
-        status.into_response()
+        response
     }
 }
 
@@ -338,13 +365,10 @@
 struct DisconnectGuard {
     frontend: Arc<Frontend>,
     number: InvocationNumber,
-    connection_id: ConnectionId,
 }
 
 impl Drop for DisconnectGuard {
     fn drop(&mut self) {
-        self.frontend.connections().on_answered(self.connection_id, self.frontend.clock.now());
-        self.frontend.connections_changed.notify_one();
         if self.frontend.pending_answers().remove(&self.number).is_some() {
             let _ = self.frontend.inputs.send(Input::ClientDisconnected(self.number));
         }
@@ -357,18 +381,11 @@
     invocation: Request,
 ) -> Response {
     let (head, body) = invocation.into_parts();
-    let checked = match check_head(&frontend.operations, &head.method, &head.uri, &head.headers) {
-        _ if connection.trace.has_ambiguous_length() => {
-            Err(bad_request("the length of the body is given more than once"))
-        }
-        checked => checked,
-    };
+    let checked = check_head(&frontend.operations, &head.method, &head.uri, &head.headers);
     let (op, request_id, limit) = match checked {
         Ok(checked) => checked,
         Err(rejection) => return close_after(rejection.into_response()),
     };
-    // Without a Content-Length only the HTTP library knows where the next message begins, so none is read.
-    let is_chunked = head.headers.contains_key(header::TRANSFER_ENCODING);
     let body = match Limited::new(body, MAX_BODY_BYTES).collect().await {
         Ok(body) => body.to_bytes(),
         Err(error) if error.is::<LengthLimitError>() => {
@@ -384,17 +401,12 @@
     let (answer_sender, answer) = oneshot::channel();
     frontend.pending_answers().insert(number, answer_sender);
     frontend.connections().on_invocation(connection.id);
-    let guard = DisconnectGuard { frontend: frontend.clone(), number, connection_id: connection.id };
+    let guard = DisconnectGuard { frontend: frontend.clone(), number };
     let deadline = connection.trace.last_received_at() + limit;
     let _ = frontend.inputs.send(Input::InvocationReceived { number, request_id, request, op, deadline });
     let answer = answer.await;
     drop(guard);
-    let response = answer_response(answer);
-    if is_chunked || frontend.closes_after_answer(connection.id) {
-        close_after(response)
-    } else {
-        response
-    }
+    answer_response(answer)
 }
 
 /// Makes a response the last one on its connection. Rejected requests use it because the next message may
--- a/crates/stagepond-sidecar/tests/program/connection_limit.rs
+++ b/crates/stagepond-sidecar/tests/program/connection_limit.rs
@@ -69,3 +69,62 @@
     assert!(status == 503 && text.contains("connection: close"), "{text}");
     assert_eq!(clients[0].read_response().await.0, 0);
 }
+
+/// Guards against answers that no handler counts: their connections stayed open and could be neither refused
+/// nor closed as idle, so that at the limit nothing was accepted for seconds (review/2).
+#[rstest]
+#[case::path_without_an_operation("GET / HTTP/1.1\r\nHost: a\r\n\r\n", 404)]
+#[case::unknown_operation_and_a_slash("GET /nosuch/ HTTP/1.1\r\nX-Priority-Class: nosuch\r\n\r\n", 404)]
+#[case::no_path("OPTIONS * HTTP/1.1\r\nHost: a\r\n\r\n", 404)]
+#[case::method_without_a_route("DELETE /ready HTTP/1.1\r\nHost: a\r\n\r\n", 405)]
+#[case::method_with_a_body("POST /ready HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nab", 405)]
+#[case::length_given_twice("GET /ready HTTP/1.1\r\nContent-Length: 0\r\nContent-Length: 0\r\n\r\n", 400)]
+#[case::head_that_is_no_http("GET\r\n\r\n", 400)]
+#[tokio::test]
+async fn rejected_request_ends_its_connection_and_keeps_no_place(#[case] sent: &str, #[case] expected: u16) {
+    let mut pod = start_pod().await;
+    let sidecar = Sidecar::start_with(&[pod.address], |c| c["limits"]["sockets"] = json!(64)).await;
+    let (mut rejected, started_at) = (Vec::new(), Instant::now());
+    for _ in 0..60 {
+        let mut client = sidecar.connect_client().await;
+        client.send(sent).await;
+        rejected.push(client);
+    }
+    let mut client = sidecar.connect_client().await;
+    invoke_successfully(&mut client, &mut pod).await;
+    assert!(started_at.elapsed() < Duration::from_millis(1500), "{:?}", started_at.elapsed());
+    let (status, text) = rejected[0].read_response().await;
+    assert!(status == expected && text.to_lowercase().contains("connection: close"), "{text}");
+    assert_eq!(rejected[0].read_response().await.0, 0);
+}
+
+/// Guards against a readiness check whose message is followed to no end: it kept its place as above.
+#[rstest]
+#[case::then_a_path_without_an_operation("GET / HTTP/1.1\r\nHost: a\r\n\r\n", 404)]
+#[case::then_one_in_chunks("GET /ready HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 200)]
+#[tokio::test]
+async fn request_after_a_readiness_check_is_counted_too(#[case] sent: &str, #[case] expected: u16) {
+    let mut pod = start_pod().await;
+    let sidecar = Sidecar::start_with(&[pod.address], |c| c["limits"]["sockets"] = json!(64)).await;
+    let mut prober = sidecar.connect_client().await;
+    assert_eq!(prober.exchange(READY_REQUEST).await.0, 200);
+    let (status, text) = prober.exchange(sent).await;
+    assert!(status == expected && text.contains("connection: close"), "{text}");
+    assert_eq!(prober.read_response().await.0, 0);
+    let mut client = sidecar.connect_client().await;
+    invoke_successfully(&mut client, &mut pod).await;
+}
+
+/// Guards against a slash at the end of an operation's path that no route took: answered 404 and not counted.
+#[rstest]
+#[tokio::test]
+async fn operation_with_a_slash_at_its_end_is_forwarded() {
+    let mut pod = start_pod().await;
+    let sidecar = Sidecar::start(&[pod.address]).await;
+    let mut client = sidecar.connect_client().await;
+    client.send(&LOOKUP.replace("/lookup", "/lookup/")).await;
+    let request = pod.next_request().await;
+    assert_eq!(request.target(), "/lookup/");
+    request.respond("200 OK", "", "made by the pod");
+    assert_eq!(client.read_response().await.0, 200);
+}
