--- a/crates/stagepond-sidecar/src/client_connections.rs
+++ b/crates/stagepond-sidecar/src/client_connections.rs
@@ -89,7 +89,23 @@
 
     /// Whether the connection may make room at the limit although it was never idle for long.
     fn is_evictable(&self, now: Tenths) -> bool {
-        self.invocations == 0 && self.idle_since.is_some() && now >= self.opened_at + NEW_CONNECTION_GRACE
+        let begun_at = match self.trace.message_begun_at() {
+            // An invocation may follow a readiness check long after the connection was opened.
+            Some(begun_at) if self.asked_ready => begun_at,
+            _ => self.opened_at,
+        };
+        self.invocations == 0 && self.idle_since.is_some() && now >= begun_at + NEW_CONNECTION_GRACE
+    }
+
+    /// Asks the connection to make room, if it can end now. Returns whether it was asked.
+    fn try_evict(&self) -> bool {
+        let can_end = self.may_be_refused();
+        if can_end && self.asked_ready && self.is_idle() {
+            self.signals.if_idle.notify_one();
+        } else if can_end {
+            self.signals.refuse.notify_one();
+        }
+        can_end
     }
 }
 
@@ -217,16 +233,15 @@
                 && self.connections.get(&id).is_some_and(|c| c.invocations < 2)
     }
 
-    /// Asks one connection to end: the oldest that has never sent an invocation, because any process may have
-    /// opened it, or else the one that has been idle longest. The connections in the accept queue may have
-    /// sent their invocations already. The first invocation of an evicted connection may be on its way, so it is
-    /// refused.
+    /// Asks one connection to end, of those that can end now: the oldest that has never sent an invocation,
+    /// because any process may have opened it, or else the one that has been idle longest. The connections in
+    /// the accept queue may have sent their invocations already. The first invocation of an evicted connection
+    /// may be on its way, so it is refused.
     pub fn make_room(&self, now: Tenths) {
-        let evictable = self.connections.values().filter(|c| c.is_evictable(now));
-        match evictable.min_by_key(|c| c.opened_at) {
-            Some(connection) if connection.asked_ready => connection.signals.if_idle.notify_one(),
-            Some(connection) => connection.signals.refuse.notify_one(),
-            None => self.close_longest_idle(1, now),
+        // The order of the numbers is that of the age.
+        let mut oldest_first = self.connections.values();
+        if !oldest_first.any(|connection| connection.is_evictable(now) && connection.try_evict()) {
+            self.close_longest_idle(1, now);
         }
     }
 
@@ -257,7 +272,7 @@
     }
 
     /// Asks up to `max_closed` connections that have been idle for at least [`MIN_KEEP_ALIVE`] to end, longest
-    /// idle first.
+    /// idle first. Connections on which a request has arrived are passed over.
     fn close_longest_idle(&self, max_closed: usize, now: Tenths) {
         if max_closed == 0 {
             return;
@@ -265,6 +280,7 @@
         let mut idle: Vec<&ClientConnection> =
             self.connections.values().filter(|c| c.is_past_keep_alive(now)).collect();
         idle.sort_by_key(|c| c.idle_since);
-        idle.into_iter().take(max_closed).for_each(|c| c.signals.if_idle.notify_one());
+        let can_end = idle.into_iter().filter(|connection| connection.is_idle());
+        can_end.take(max_closed).for_each(|connection| connection.signals.if_idle.notify_one());
     }
 }
--- /dev/null
+++ b/crates/stagepond-sidecar/tests/client_connections.rs
@@ -0,0 +1,143 @@
+//! Tests of the choice of the client connection that makes room, on a simulated time. The connections are real
+//! ones, because what was received on them decides whether they may end.
+
+use std::pin::Pin;
+use std::sync::Arc;
+
+use futures_util::FutureExt;
+use hyper::rt::{Read, ReadBuf};
+use rstest::rstest;
+use stagepond::host::Tenths;
+use stagepond_sidecar::client_connections::{ClientConnections, CloseSignals, ConnectionId};
+use stagepond_sidecar::connection::{ConnectionTrace, TracedConnection};
+use stagepond_sidecar::messages::Clock;
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
+
+const WHOLE_REQUEST: &str = "GET /lookup HTTP/1.1\r\nHost: a\r\n\r\n";
+const HALF_A_REQUEST: &str = "GET /lookup HTTP/1.1\r\nHo";
+const LIMIT: usize = 4;
+/// Later than every grace period and keep-alive time, earlier than the time limit of a message.
+const LATER: Tenths = Tenths::ms(2100);
+
+/// How a connection was asked to end.
+#[derive(Debug, PartialEq)]
+enum Asked {
+    No,
+    IfIdle,
+    Refuse,
+    AtOnce,
+}
+
+struct Connection {
+    id: ConnectionId,
+    client: TcpStream,
+    server: TracedConnection,
+    trace: ConnectionTrace,
+    signals: Arc<CloseSignals>,
+}
+
+impl Connection {
+    async fn open(registry: &mut ClientConnections, clock: Clock, opened_at: Tenths) -> Connection {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let client = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
+        let trace = ConnectionTrace::for_incoming_messages();
+        let server = TracedConnection::new(listener.accept().await.unwrap().0, trace.clone(), clock).unwrap();
+        let signals = Arc::new(CloseSignals::default());
+        let id = registry.add(opened_at, trace.clone(), signals.clone());
+        Connection { id, client, server, trace, signals }
+    }
+
+    /// Sends bytes as the client and reads them as the server.
+    async fn receive(&mut self, text: &str) {
+        self.client.write_all(text.as_bytes()).await.unwrap();
+        let mut into = vec![0; text.len()];
+        let mut buffer = ReadBuf::new(&mut into);
+        while buffer.filled().len() < text.len() {
+            std::future::poll_fn(|cx| Pin::new(&mut self.server).poll_read(cx, buffer.unfilled()))
+                .await
+                .unwrap();
+        }
+    }
+
+    /// Receives an invocation and answers it.
+    async fn invoke(&mut self, registry: &mut ClientConnections, now: Tenths) {
+        self.receive(WHOLE_REQUEST).await;
+        registry.on_invocation(self.id);
+        registry.on_answered(self.id, now);
+    }
+
+    /// Receives a readiness check and answers it.
+    async fn ask_ready(&mut self, registry: &mut ClientConnections, now: Tenths) {
+        self.receive("GET /ready HTTP/1.1\r\n\r\n").await;
+        registry.on_ready_asked(self.id);
+        registry.on_answered(self.id, now);
+    }
+
+    fn asked(&self) -> Asked {
+        let is_notified = |signal: &tokio::sync::Notify| signal.notified().now_or_never().is_some();
+        match () {
+            () if is_notified(&self.signals.if_idle) => Asked::IfIdle,
+            () if is_notified(&self.signals.refuse) => Asked::Refuse,
+            () if is_notified(&self.signals.immediate) => Asked::AtOnce,
+            () => Asked::No,
+        }
+    }
+}
+
+/// Guards against eviction that asks the same oldest connection again and again though it can't end now: none
+/// of the others made room.
+#[rstest]
+#[tokio::test]
+async fn eviction_passes_over_a_connection_with_an_unanswered_request() {
+    let (mut registry, clock) = (ClientConnections::new(LIMIT), Clock::start());
+    let now = clock.now();
+    let mut oldest = Connection::open(&mut registry, clock, now).await;
+    let silent = Connection::open(&mut registry, clock, now).await;
+    oldest.receive(WHOLE_REQUEST).await;
+    registry.make_room(now + LATER);
+    assert_eq!((oldest.asked(), silent.asked()), (Asked::No, Asked::Refuse));
+}
+
+/// Guards against a readiness check that protects half a request behind it from eviction, and with it all
+/// younger connections. The request has the same grace as one on a new connection.
+#[rstest]
+#[case::within_the_grace(Tenths::ms(100), Asked::No, Asked::IfIdle)]
+#[case::after_the_grace(Tenths::ms(400), Asked::Refuse, Asked::No)]
+#[tokio::test]
+async fn half_a_request_after_a_readiness_check_is_evicted_after_its_grace(
+    #[case] age: Tenths, #[case] older: Asked, #[case] younger: Asked,
+) {
+    let (mut registry, clock) = (ClientConnections::new(LIMIT), Clock::start());
+    let opened_at = clock.now() - LATER;
+    let mut sending = Connection::open(&mut registry, clock, opened_at).await;
+    sending.ask_ready(&mut registry, opened_at).await;
+    let mut idle = Connection::open(&mut registry, clock, opened_at).await;
+    idle.ask_ready(&mut registry, opened_at).await;
+    sending.receive(HALF_A_REQUEST).await;
+    registry.make_room(sending.trace.message_begun_at().unwrap() + age);
+    assert_eq!((sending.asked(), idle.asked()), (older, younger));
+}
+
+/// Guards against a connection in the middle of a message that, as the longest idle one, kept all other idle
+/// connections open: at the limit, and in the sweep above the high load threshold.
+#[rstest]
+#[case::at_the_limit(|registry: &ClientConnections, now| registry.make_room(now))]
+#[case::in_a_sweep(|registry: &ClientConnections, now| registry.sweep(now))]
+#[tokio::test]
+async fn longest_idle_connection_in_the_middle_of_a_message_is_passed_over(
+    #[case] choose: fn(&ClientConnections, Tenths),
+) {
+    let (mut registry, clock) = (ClientConnections::new(LIMIT), Clock::start());
+    let now = clock.now();
+    let mut connections = Vec::new();
+    for _ in 0..LIMIT {
+        let mut connection = Connection::open(&mut registry, clock, now).await;
+        connection.invoke(&mut registry, now).await;
+        connections.push(connection);
+    }
+    connections[0].receive(HALF_A_REQUEST).await;
+    choose(&registry, now + LATER);
+    let asked: Vec<Asked> = connections.iter().map(Connection::asked).collect();
+    assert_eq!(asked, [Asked::No, Asked::IfIdle, Asked::No, Asked::No]);
+}
--- a/crates/stagepond-sidecar/tests/program/connection_limit.rs
+++ b/crates/stagepond-sidecar/tests/program/connection_limit.rs
@@ -128,3 +128,22 @@
     request.respond("200 OK", "", "made by the pod");
     assert_eq!(client.read_response().await.0, 200);
 }
+
+/// Guards against eviction that stops at one connection which can't end now: with a prober in the middle of
+/// its next request, silent connections kept all places until their time limit.
+#[rstest]
+#[tokio::test]
+async fn connection_that_may_not_end_does_not_keep_the_others_open() {
+    let mut pod = start_pod().await;
+    let sidecar = Sidecar::start_with(&[pod.address], |c| c["limits"]["sockets"] = json!(64)).await;
+    let mut prober = sidecar.connect_client().await;
+    assert_eq!(prober.exchange(READY_REQUEST).await.0, 200);
+    prober.send("GET /lookup HTTP/1.1\r\nX-Requ").await;
+    let (mut silent, started_at) = (Vec::new(), Instant::now());
+    for _ in 0..30 {
+        silent.push(sidecar.connect_client().await);
+    }
+    let mut client = sidecar.connect_client().await;
+    invoke_successfully(&mut client, &mut pod).await;
+    assert!(started_at.elapsed() < Duration::from_millis(1500), "{:?}", started_at.elapsed());
+}
