--- a/crates/stagepond-sidecar/src/frontend.rs
+++ b/crates/stagepond-sidecar/src/frontend.rs
@@ -70,6 +70,7 @@
     inputs: mpsc::UnboundedSender<Input>,
     ready: AtomicBool,
     leaving: AtomicBool,
+    listener_closed: AtomicBool,
     next_number: AtomicU64,
     pending_answers: Mutex<HashMap<InvocationNumber, oneshot::Sender<FinalAnswer>>>,
     connections: Mutex<ClientConnections>,
@@ -97,6 +98,7 @@
             inputs,
             ready: AtomicBool::new(false),
             leaving: AtomicBool::new(false),
+            listener_closed: AtomicBool::new(false),
             next_number: AtomicU64::new(1),
             pending_answers: Mutex::default(),
             connections: Mutex::new(ClientConnections::new(max_connections)),
@@ -148,8 +150,8 @@
         self.connections().refuse_unfinished();
     }
 
-    /// Accepts the connections that already wait in the queue, then closes the listener and reports
-    /// [`Input::ListenerClosed`].
+    /// Accepts the connections that already wait in the queue, as places for them come free, then closes the
+    /// listener and reports [`Input::ListenerClosed`].
     pub fn close_listener(&self) {
         self.close_listener.notify_one();
     }
@@ -201,9 +203,9 @@
             }
         }
         // Connections that the kernel has queued are accepted with direct system calls, because the runtime
-        // may not have been notified of them yet.
+        // may not have been notified of them yet. More than the queue holds must have come after the end.
         let listener = listener.into_std().expect("a listener that the runtime registered");
-        loop {
+        for _ in 0..=LISTEN_BACKLOG {
             self.wait_for_room().await;
             let accepted = listener.accept().and_then(|(stream, _)| {
                 stream.set_nonblocking(true)?;
@@ -221,6 +223,7 @@
             }
         }
         drop(listener);
+        self.listener_closed.store(true, Ordering::Relaxed);
         let _ = self.inputs.send(Input::ListenerClosed);
         self.report_if_empty();
     }
@@ -309,9 +312,10 @@
         refusable
     }
 
+    /// Reports that no client is connected, once no other one can come.
     fn report_if_empty(&self) {
         let empty = self.connections().is_empty();
-        if empty && self.leaving.load(Ordering::Relaxed) {
+        if empty && self.listener_closed.load(Ordering::Relaxed) {
             let _ = self.inputs.send(Input::AllClientsDisconnected);
         }
     }
--- a/crates/stagepond-sidecar/src/lifecycle.rs
+++ b/crates/stagepond-sidecar/src/lifecycle.rs
@@ -8,6 +8,9 @@
 /// How long the listener stays open after the shutdown signal. Clients keep connecting for up to 0.4 s after
 /// it; the rest is a margin for a busy machine.
 pub const LISTEN_AFTER_SHUTDOWN: Tenths = Tenths::ms(600);
+/// How long the listener may take to close before the shutdown goes on without it. It accepts what waits in its
+/// queue first, which takes long only while every place for a client is taken.
+const LISTENER_CLOSE_TIMEOUT: Tenths = Tenths::ms(20);
 /// How long answers that are written but not yet read by their clients may delay the exit.
 pub const ANSWER_FLUSH_TIMEOUT: Tenths = Tenths::ms(500);
 /// The platform kills the process at the earliest when the longest time limit and this time have passed since
@@ -109,7 +112,8 @@
     Leaving,
     /// The listener is closed; the connections that are still open are served as before.
     Draining,
-    /// Idle connections are closed; invocations that were accepted are still answered.
+    /// Idle connections are closed; invocations that were accepted are still answered. The listener may be open
+    /// still, if connections wait in its queue for a place.
     Closing,
     /// The program exits.
     Stopped,
@@ -130,8 +134,8 @@
     last_busy_at: Tenths,
     /// [`Lifecycle::take_answers_due`] has returned true.
     answers_taken: bool,
-    /// The listener has been asked to close.
-    listener_closing: bool,
+    /// When the listener was asked to close.
+    listener_closing_since: Option<Tenths>,
     /// [`FRESH_LIST_TIMEOUT`] has passed.
     list_timed_out: bool,
 }
@@ -148,7 +152,7 @@
             busy: false,
             last_busy_at: now,
             answers_taken: false,
-            listener_closing: false,
+            listener_closing_since: None,
             list_timed_out: false,
         }
     }
@@ -181,10 +185,19 @@
         (self.state == State::Leaving).then(|| self.enter(State::Draining, now)).flatten()
     }
 
-    /// Starts to close idle connections when that is due.
+    /// Starts to close idle connections when that is due, whether or not the listener has closed by then.
     pub fn try_close_idle(&mut self, now: Tenths) -> Option<State> {
-        let due = self.state == State::Draining && now >= self.schedule_or_never(|s| s.idle_close_at);
-        due.then(|| self.enter(State::Closing, now)).flatten()
+        (now >= self.idle_close_due()).then(|| self.enter(State::Closing, now)).flatten()
+    }
+
+    /// When idle connections are due to be closed next.
+    fn idle_close_due(&self) -> Tenths {
+        let idle_close_at = self.schedule_or_never(|schedule| schedule.idle_close_at);
+        match (self.state, self.listener_closing_since) {
+            (State::Draining, _) => idle_close_at,
+            (State::Leaving, Some(since)) => idle_close_at.max(since + LISTENER_CLOSE_TIMEOUT),
+            _ => Tenths::NEVER,
+        }
     }
 
     /// Stops once no invocation is unanswered and no client is connected. Clients that stay connected, because
@@ -216,9 +229,11 @@
     /// Returns true once, when the listener has been open for [`LISTEN_AFTER_SHUTDOWN`] since the signal.
     pub fn take_listener_close(&mut self, now: Tenths) -> bool {
         let due = self.state == State::Leaving
-            && !self.listener_closing
+            && self.listener_closing_since.is_none()
             && now >= self.schedule_or_never(|schedule| schedule.listener_close_at);
-        self.listener_closing |= due;
+        if due {
+            self.listener_closing_since = Some(now);
+        }
         due
     }
 
@@ -226,8 +241,10 @@
     pub fn next_due(&self) -> Tenths {
         match self.state {
             State::Starting if !self.list_timed_out => self.entered_at + FRESH_LIST_TIMEOUT,
-            State::Leaving if !self.listener_closing => self.schedule_or_never(|s| s.listener_close_at),
-            State::Draining => self.schedule_or_never(|s| s.idle_close_at),
+            State::Leaving if self.listener_closing_since.is_none() => {
+                self.schedule_or_never(|schedule| schedule.listener_close_at)
+            }
+            State::Leaving | State::Draining => self.idle_close_due(),
             State::Closing if !self.answers_taken => self.answers_due_at().min(self.client_wait_ends_at()),
             State::Closing if !self.busy => self.client_wait_ends_at(),
             _ => Tenths::NEVER,
--- a/crates/stagepond-sidecar/src/reducer.rs
+++ b/crates/stagepond-sidecar/src/reducer.rs
@@ -377,12 +377,12 @@
             Input::ShutdownRequested => {
                 self.step_leadership(|leadership, now| leadership.leave(now));
                 let state = self.lifecycle.begin_shutdown(self.host.now);
+                // Clients count as connected until the frontend reports that none is.
+                self.clients_connected |= state.is_some();
                 self.push_state(state);
             }
             Input::ListenerClosed => {
                 let state = self.lifecycle.listener_closed(self.host.now);
-                // Clients count as connected until the frontend reports that none is.
-                self.clients_connected |= state.is_some();
                 self.push_state(state);
             }
             Input::AllClientsDisconnected => self.clients_connected = false,
--- a/crates/stagepond-sidecar/src/reducer_tests.rs
+++ b/crates/stagepond-sidecar/src/reducer_tests.rs
@@ -425,6 +425,28 @@
     assert_eq!(entered_states(&effects), [State::Closing, State::Stopped]);
 }
 
+/// Guards against a shutdown that waits for the listener: connections that keep coming while all places are
+/// taken kept it open, and what was unanswered at the kill was lost.
+#[rstest]
+#[case::short_time_limit(Tenths::ms(300), Tenths::ms(1000))]
+#[case::usual_time_limit(Tenths::ms(2000), Tenths::ms(2700))]
+#[case::long_time_limit(Tenths::ms(60_000), Tenths::ms(3700))]
+fn shutdown_ends_before_the_kill_though_the_listener_never_closes(
+    #[case] longest_time_limit: Tenths, #[case] kill_after: Tenths,
+) {
+    let facts = Facts { longest_time_limit, ..test_facts() };
+    let mut harness = ReducerHarness::new(facts, vec![pod_entry(1, 1)]);
+    harness.apply(Input::PodListReceived(pod_list(false, vec![])));
+    let (number, _) = harness.send_invocation_until(IDEMPOTENT, harness.now + Tenths::ms(60_000));
+    let kill_at = harness.now + kill_after;
+    harness.apply(Input::ShutdownRequested);
+    let effects = harness.advance(kill_at - harness.now - Tenths::ms(200));
+    assert!(matches!(answers(&effects)[..], [(n, FinalAnswer::Terminated)] if n == number));
+    assert!(effects.contains(&Effect::RefuseUnfinishedRequests));
+    assert_eq!(entered_states(&effects), [State::Closing]);
+    assert_eq!(entered_states(&harness.advance(Tenths::ms(100))), [State::Stopped]);
+}
+
 /// An answer that is given is not written yet. The process may have been held up until shortly before the kill.
 #[rstest]
 fn exit_waits_for_an_answer_to_be_written_though_the_kill_is_near() {
--- a/crates/stagepond-sidecar/tests/program/shutdown.rs
+++ b/crates/stagepond-sidecar/tests/program/shutdown.rs
@@ -3,6 +3,8 @@
 use nix::sys::signal::Signal;
 use rstest::rstest;
 use serde_json::json;
+use tokio::io::AsyncReadExt;
+use tokio::net::TcpStream;
 
 use crate::harness::*;
 
@@ -64,3 +66,38 @@
     sidecar.wait_for_log("state=Stopped").await;
     assert_eq!(count_requests(&mut pod), 0);
 }
+
+/// Guards against a listener that never ends: silent clients that come again each time that they are refused
+/// kept its queue full, so that nothing was answered before the kill.
+#[rstest]
+#[tokio::test]
+async fn shutdown_ends_while_refused_clients_keep_connecting() {
+    let mut pod = start_pod().await;
+    let mut sidecar = Sidecar::start_with(&[pod.address], |config| {
+        config["limits"]["sockets"] = json!(64);
+        for operation in config["settings"]["classes"].as_array_mut().unwrap() {
+            operation["deadline_ms"] = json!(1000.0);
+        }
+    })
+    .await;
+    let mut client = sidecar.connect_client().await;
+    client.send(&http_message("POST", "/order", "X-Timeout-Ms: 60000\r\n", "")).await;
+    let _unanswered = pod.next_request().await;
+    let address = sidecar.address;
+    let silent_clients: Vec<_> = (0..100)
+        .map(|_| {
+            tokio::spawn(async move {
+                while let Ok(mut connection) = TcpStream::connect(address).await {
+                    let _ = connection.read_to_end(&mut Vec::new()).await;
+                }
+            })
+        })
+        .collect();
+    sidecar.wait_for_log("is the bound").await;
+    sidecar.send_signal(Signal::SIGTERM);
+    assert_eq!(client.read_response().await.0, 502);
+    sidecar.wait_for_log("state=Stopped").await;
+    for silent_client in silent_clients {
+        silent_client.await.unwrap();
+    }
+}
