--- a/crates/stagepond-tuf/src/client.rs
+++ b/crates/stagepond-tuf/src/client.rs
@@ -69,7 +69,8 @@
     /// Freeze attack, or a repository that is no longer updated: `expires` has passed.
     #[error("{role}: expired at {expires}")]
     Expired { role: String, expires: UnixSeconds },
-    /// The repository does not have the requested file, or no targets metadata is trusted yet.
+    /// The repository does not have the requested file, or a search needs a role of which no file is trusted
+    /// in the version that the role above it lists.
     #[error("{role}: file not found")]
     NotFound { role: String },
     /// Rollback attack: a role listed in the trusted snapshot is missing from the new one (section 5.5.5).
@@ -644,7 +645,7 @@
     /// operators.
     ///
     /// # Errors
-    /// [`MetadataError::Expired`], [`MetadataError::NotFound`] if no targets metadata is trusted yet,
+    /// [`MetadataError::Expired`], [`MetadataError::NotFound`] as in [`Client::check_top_level_metadata`],
     /// [`MetadataError::TargetNotFound`] or [`MetadataError::TooManyDelegations`].
     pub fn find_target(
         &mut self, now: UnixSeconds, grace_seconds: i64, path: &str,
@@ -655,9 +656,7 @@
         for (role, _, expires) in self.trusted_roles() {
             self.check_expiry(role, expires)?;
         }
-        if !self.targets.contains_key(&top_level_targets()) {
-            return Err(MetadataError::NotFound { role: TARGETS.into() });
-        }
+        self.check_top_level_metadata()?;
         self.search = Some(Search {
             path: path.into(),
             pending: vec![RoleVisit { role: top_level_targets(), parent: top_level_targets() }],
@@ -737,9 +736,28 @@
         self.targets.get(&top_level_targets()).map(|file| &file.signed)
     }
 
-    /// Whether timestamp, snapshot and top-level targets are all trusted, so that a search can start.
+    /// Checks that timestamp, snapshot and top-level targets are all trusted, the latter two in the version
+    /// that the file above lists. Without that a search can't start: nothing says that the targets are
+    /// current, and a file that is gone can't expire. A new root drops files whose keys it replaces, and a
+    /// refresh that fails may have replaced some files only.
+    ///
+    /// # Errors
+    /// [`MetadataError::NotFound`] with the first role that is missing.
+    pub fn check_top_level_metadata(&self) -> Result<(), MetadataError> {
+        let missing = |role: &str| MetadataError::NotFound { role: role.into() };
+        let (timestamp, _) = self.timestamp.as_ref().ok_or_else(|| missing(TIMESTAMP))?;
+        let snapshot = self.snapshot.as_ref().map(|(file, _)| file);
+        let listed = timestamp.signed.meta["snapshot.json"].version;
+        let snapshot = snapshot.filter(|file| file.version == listed).ok_or_else(|| missing(SNAPSHOT))?;
+        let targets = self.targets.get(&top_level_targets());
+        let listed = snapshot.signed.meta.get("targets.json").map(|described| described.version);
+        targets.filter(|file| Some(file.version) == listed).ok_or_else(|| missing(TARGETS))?;
+        Ok(())
+    }
+
+    /// Whether [`Client::check_top_level_metadata`] passes, so that a search can start.
     pub fn has_top_level_metadata(&self) -> bool {
-        self.timestamp.is_some() && self.snapshot.is_some() && self.targets.contains_key(&top_level_targets())
+        self.check_top_level_metadata().is_ok()
     }
 
     /// The fault that this client was built with; none outside checkers.
--- a/crates/stagepond-tuf/tests/client.rs
+++ b/crates/stagepond-tuf/tests/client.rs
@@ -217,3 +217,56 @@
     assert!(server.refresh(&mut client, NOW).is_ok());
     assert_eq!(server.find(&mut client, "packs/none").unwrap_err().kind(), "no_such_target");
 }
+
+/// A client that trusts a release with one target, and its repository.
+fn client_of_a_release() -> (TestRepository, Client) {
+    let mut server = TestRepository::new();
+    server.repository.targets = targets_with("packs/a", b"x");
+    server.publish(&[]);
+    let mut client = server.client(Limits::default());
+    assert!(server.refresh(&mut client, NOW).is_ok());
+    assert!(server.find(&mut client, "packs/a").is_ok());
+    (server, client)
+}
+
+/// Guards against searches that pass without a timestamp, a snapshot or targets metadata: without them nothing
+/// says that the target is current, and what is not there can't expire (review/3).
+#[rstest]
+#[case::timestamp(TIMESTAMP)]
+#[case::snapshot(SNAPSHOT)]
+#[case::targets(TARGETS)]
+fn nothing_is_found_after_a_new_root_has_replaced_the_keys_of_a_role(
+    #[case] role: &str, #[values(false, true)] restarted: bool,
+) {
+    let (mut server, mut client) = client_of_a_release();
+    let new_key = SigningKey::from_seed([2; 32]);
+    server.repository.rotate_keys(role, &[&new_key], 1).unwrap();
+    server.publish_root(&[]);
+    assert_eq!(server.refresh(&mut client, NOW).unwrap_err().kind(), "threshold");
+    if restarted {
+        let state = client.trusted_state();
+        client =
+            Client::resume(&state, VersionFloors::default(), Limits::default(), Planted::default()).unwrap();
+    }
+    assert_eq!(server.find(&mut client, "packs/a").unwrap_err().kind(), "missing");
+    server.publish(&[&new_key]);
+    assert_eq!(server.refresh(&mut client, NOW), Ok(Progress::UpToDate));
+    assert!(server.find(&mut client, "packs/a").is_ok());
+}
+
+/// Guards against searches in a snapshot or targets metadata that a newer file has replaced while its successor
+/// is withheld.
+#[rstest]
+#[case::snapshot("2.snapshot.json")]
+#[case::targets("2.targets.json")]
+fn nothing_is_found_while_the_successor_of_a_file_is_withheld(#[case] withheld: &str) {
+    let (mut server, mut client) = client_of_a_release();
+    server.repository.targets = targets_with("packs/b", b"y");
+    server.publish(&[]);
+    let file = server.files.remove(withheld).unwrap();
+    assert_eq!(server.refresh(&mut client, NOW).unwrap_err().kind(), "missing");
+    assert_eq!(server.find(&mut client, "packs/a").unwrap_err().kind(), "missing");
+    server.files.insert(withheld.to_string(), file);
+    assert_eq!(server.refresh(&mut client, NOW), Ok(Progress::UpToDate));
+    assert_eq!(server.find(&mut client, "packs/a").unwrap_err().kind(), "no_such_target");
+}
