--- a/crates/stagepond-sidecar/src/reducer.rs
+++ b/crates/stagepond-sidecar/src/reducer.rs
@@ -400,7 +400,6 @@
         for _ in 0..MAX_FETCHES_PER_INPUT {
             let now = self.host.now;
             let Some(verification) = &mut self.verification else { return };
-            verification.drop_expired(now);
             let mut next = None;
             let mut effects = std::mem::take(&mut self.host.effects);
             effects.retain(|effect| match effect {
@@ -530,7 +529,7 @@
         if let Some(verification) = self.verification.as_mut().filter(|_| number < FIRST_INTERNAL_INVOCATION)
         {
             target = verification.target_path(op, request.target.path()).map(str::to_string);
-            target.iter().for_each(|path| verification.request_target(path));
+            target.iter().for_each(|path| verification.request_target(self.host.now, path));
         }
         let invocation = PendingInvocation {
             number,
@@ -575,7 +574,7 @@
         let Some(path) = invocation.target.as_deref().filter(|_| outcome.ending == Ending::Succeeded) else {
             return Some(outcome);
         };
-        match verification.check_response(path, &outcome.response.body) {
+        match verification.check_response(self.host.now, path, &outcome.response.body) {
             CheckResult::Valid => {}
             CheckResult::Invalid(failed_check) => {
                 invocation.failed_check = Some(failed_check);
--- a/crates/stagepond-sidecar/src/target_cache.rs
+++ b/crates/stagepond-sidecar/src/target_cache.rs
@@ -2,13 +2,22 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
-use stagepond_tuf::metadata::Target;
+use stagepond_tuf::metadata::{Target, UnixSeconds};
 
 /// Search results that are cached. The oldest is evicted first and searched for again when needed.
 const MAX_CACHED_TARGETS: usize = 1024;
 
-/// Result of a search: the signed target, or the kind of the error.
-pub type SearchResult = Result<Target, &'static str>;
+/// A target that a search has found.
+#[derive(Clone, Debug, PartialEq)]
+pub struct FoundTarget {
+    /// The signed description of the target.
+    pub target: Target,
+    /// The metadata by which it was found are usable before this time.
+    pub usable_until: UnixSeconds,
+}
+
+/// Result of a search: the target, or the kind of the error.
+pub type SearchResult = Result<FoundTarget, &'static str>;
 
 /// Search results by target path.
 #[derive(Default)]
@@ -35,6 +44,15 @@
         }
     }
 
+    /// Removes the target at this path if the metadata by which it was found have ended.
+    pub fn remove_if_ended(&mut self, path: &str, now: UnixSeconds) {
+        let has_ended = |found: &FoundTarget| found.usable_until <= now;
+        if self.results.get(path).is_some_and(|result| result.as_ref().is_ok_and(has_ended)) {
+            self.results.remove(path);
+            self.order.retain(|cached| cached != path);
+        }
+    }
+
     /// Removes the searches that failed.
     pub fn remove_errors(&mut self) {
         self.results.retain(|_, result| result.is_ok());
@@ -47,8 +65,8 @@
         self.order.clear();
     }
 
-    /// Number of targets that were found.
-    pub fn target_count(&self) -> usize {
-        self.results.values().filter(|result| result.is_ok()).count()
+    /// Number of targets whose metadata have not ended.
+    pub fn usable_count(&self, now: UnixSeconds) -> usize {
+        self.results.values().flatten().filter(|found| now < found.usable_until).count()
     }
 }
--- a/crates/stagepond-tuf/src/client.rs
+++ b/crates/stagepond-tuf/src/client.rs
@@ -187,6 +187,8 @@
     /// Roles still to visit, the next one last.
     pending: Vec<RoleVisit>,
     visited: BTreeSet<RoleName>,
+    /// When the first of the top-level files and of the roles visited expires.
+    expires: UnixSeconds,
 }
 
 /// Outcome of one step of the workflow.
@@ -196,8 +198,9 @@
     NeedFile(FileRequest),
     /// The refresh is complete: all top-level metadata is trusted and not expired.
     UpToDate,
-    /// The search is complete: `role` lists the target.
-    TargetFound { target: Target, role: RoleName },
+    /// The search is complete: `role` lists the target. The first of all files that the search went by expires
+    /// at `expires`, and with it the result.
+    TargetFound { target: Target, role: RoleName, expires: UnixSeconds },
 }
 
 /// A TUF client for one repository. [`Client::refresh`] updates the top-level metadata,
@@ -661,6 +664,7 @@
             path: path.into(),
             pending: vec![RoleVisit { role: top_level_targets(), parent: top_level_targets() }],
             visited: BTreeSet::new(),
+            expires: self.earliest_expiry(),
         });
         self.continue_search()
     }
@@ -683,8 +687,10 @@
                 return Ok(Progress::NeedFile(request));
             };
             self.check_expiry(&role.0, file.expires)?;
+            search.expires = search.expires.min(file.expires);
             if let Some(target) = file.signed.targets.get(&search.path) {
-                return Ok(Progress::TargetFound { target: target.clone(), role });
+                let target = target.clone();
+                return Ok(Progress::TargetFound { target, role, expires: search.expires });
             }
             search.visited.insert(role.clone());
             let Some(delegations) = &file.signed.delegations else { continue };
