--- a/crates/stagepond-tuf/src/client.rs
+++ b/crates/stagepond-tuf/src/client.rs
@@ -591,11 +591,7 @@
         }
         self.check_floor(SNAPSHOT, self.floors.snapshot, file.version)?;
         self.check_expiry(SNAPSHOT, file.expires)?;
-        // Targets metadata whose version changed has to be fetched again; the rest stays trusted.
-        let meta = &file.signed.meta;
-        self.targets.retain(|role, trusted| {
-            meta.get(&format!("{}.json", role.0)).is_some_and(|listed| listed.version == trusted.version)
-        });
+        self.drop_unlisted_targets(&file.signed, bytes);
         self.snapshot = Some((file, bytes.to_vec()));
         if self.targets.contains_key(&top_level_targets()) {
             return self.check_all_expiries();
@@ -605,6 +601,24 @@
         Ok(Progress::NeedFile(request))
     }
 
+    /// Drops the targets metadata that `snapshot`, received as `bytes`, does not vouch for: the top-level one
+    /// unless exactly this file is listed, and those of all delegated roles if the snapshot is another one than
+    /// before. They were checked by the keys that their parents listed then, and are fetched again when needed.
+    fn drop_unlisted_targets(&mut self, snapshot: &Snapshot, bytes: &[u8]) {
+        if self.snapshot.as_ref().is_none_or(|(_, trusted_bytes)| trusted_bytes != bytes) {
+            self.unload_delegated_roles();
+        }
+        let trusted = self.targets.get(&top_level_targets()).zip(self.targets_bytes.as_ref());
+        let is_listed =
+            snapshot.meta.get("targets.json").zip(trusted).is_some_and(|(listed, (file, bytes))| {
+                listed.version == file.version && self.check_content(TARGETS, listed, bytes).is_ok()
+            });
+        if !is_listed {
+            self.targets.remove(&top_level_targets());
+            self.targets_bytes = None;
+        }
+    }
+
     /// What the trusted snapshot says of a targets role.
     fn targets_description(&self, role: &RoleName) -> Result<FileDescription, MetadataError> {
         let snapshot = self.snapshot.as_ref().map(|(s, _)| &s.signed.meta);
