--- a/crates/stagepond-sidecar/src/verification_tests.rs
+++ b/crates/stagepond-sidecar/src/verification_tests.rs
@@ -477,3 +477,30 @@
     harness.handle_effects(effects);
     assert_eq!(failed_check(&harness.wait_for_answer()), Some("expired"));
 }
+
+/// Guards against a restart that brings back what a new root has dropped: the state was stored only by a
+/// refresh that succeeded as a whole, which needs the next release.
+#[rstest]
+fn what_a_new_root_has_dropped_stays_dropped_after_a_restart(
+    #[values(TIMESTAMP, SNAPSHOT, TARGETS)] role: &str,
+    #[values(ExpiredMetadataPolicy::Refuse, ExpiredMetadataPolicy::UseFor(hours(2)))]
+    policy: ExpiredMetadataPolicy,
+) {
+    let mut harness = Harness::with_good_target(&[GOOD]);
+    assert!(is_good(&harness.request_target()));
+    harness.replace_key(role);
+    let mut repository = harness.repository;
+    repository.files.remove("2.root.json").expect("the new root");
+    let mut restarted = Harness::start(&[GOOD], policy, harness.stored_state, repository);
+    assert_eq!(failed_check(&restarted.request_target()), Some("missing"));
+}
+
+/// A state that holds nothing but the configured root would outlast the correction of a wrong one.
+#[rstest]
+fn nothing_is_stored_before_any_metadata_is_trusted() {
+    let repository = TestRepository::with_good_target();
+    let root = repository.files["1.root.json"].clone();
+    let repository = TestRepository { files: [("1.root.json".to_string(), root)].into(), ..repository };
+    let harness = Harness::start(&[GOOD], ExpiredMetadataPolicy::Refuse, None, repository);
+    assert!(harness.stored_state.is_none());
+}
