--- a/crates/stagepond-sidecar/src/lib.rs
+++ b/crates/stagepond-sidecar/src/lib.rs
@@ -24,6 +24,7 @@
 #[cfg(test)]
 mod reducer_tests;
 pub mod request_head;
+pub mod responses;
 pub mod state_files;
 pub mod stream;
 pub mod target_cache;
--- a/crates/stagepond-sidecar/tests/program/harness.rs
+++ b/crates/stagepond-sidecar/tests/program/harness.rs
@@ -240,3 +240,10 @@
 pub fn count_requests(server: &mut MockServer) -> usize {
     server.drain_events().iter().filter(|event| matches!(event, ServerEvent::Request(_))).count()
 }
+
+/// Gives every operation this time limit, which decides when the platform may kill the sidecar.
+pub fn set_time_limits(config: &mut Value, limit_ms: f64) {
+    for operation in config["settings"]["classes"].as_array_mut().unwrap() {
+        operation["deadline_ms"] = json!(limit_ms);
+    }
+}
