--- a/crates/stagepond-tuf/src/client.rs
+++ b/crates/stagepond-tuf/src/client.rs
@@ -513,10 +513,11 @@
             self.timestamp = Some((file, bytes.to_vec()));
         }
         let described = self.snapshot_description();
-        // Nothing new was published: the trusted metadata is up to date unless it has expired meanwhile.
-        let snapshot_trusted = self.snapshot.as_ref().is_some_and(|(s, _)| s.version == described.version);
-        if snapshot_trusted && self.targets.contains_key(&top_level_targets()) && same_version {
-            return self.check_all_expiries();
+        let is_snapshot_trusted = self.snapshot.as_ref().is_some_and(|(trusted, bytes)| {
+            trusted.version == described.version && self.check_content(SNAPSHOT, &described, bytes).is_ok()
+        });
+        if is_snapshot_trusted {
+            return self.request_targets_unless_trusted();
         }
         self.pending = PendingFile::Snapshot;
         let path = self.versioned_name(described.version, "snapshot.json");
@@ -593,11 +594,17 @@
         self.check_expiry(SNAPSHOT, file.expires)?;
         self.drop_unlisted_targets(&file.signed, bytes);
         self.snapshot = Some((file, bytes.to_vec()));
-        if self.targets.contains_key(&top_level_targets()) {
+        self.request_targets_unless_trusted()
+    }
+
+    /// Requests the top-level targets, or ends the refresh if those that the snapshot lists are trusted. Then
+    /// the trusted metadata is up to date unless it has expired meanwhile.
+    fn request_targets_unless_trusted(&mut self) -> Result<Progress, MetadataError> {
+        if self.has_top_level_metadata() {
             return self.check_all_expiries();
         }
-        self.pending = PendingFile::Targets;
         let request = self.targets_request(&top_level_targets())?;
+        self.pending = PendingFile::Targets;
         Ok(Progress::NeedFile(request))
     }
 
--- a/crates/stagepond-tuf/tests/client.rs
+++ b/crates/stagepond-tuf/tests/client.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeMap;
 
 use rstest::rstest;
-use stagepond_tuf::client::{Client, Limits, MetadataError, Progress, VersionFloors};
+use stagepond_tuf::client::{Client, Limits, MetadataError, Progress, TrustedState, VersionFloors};
 use stagepond_tuf::keys::SigningKey;
 use stagepond_tuf::metadata::*;
 use stagepond_tuf::planted::Planted;
@@ -305,3 +305,34 @@
         outcome => assert_eq!((outcome.unwrap_err().kind(), served), ("other_bytes", false)),
     }
 }
+
+/// Guards against a refresh that needs every file of a release again after one was missing: among pods of which
+/// some lack the release, all of them seldom come in one refresh.
+#[rstest]
+fn refresh_goes_on_after_the_snapshot_that_is_trusted_already() {
+    let (mut server, mut client) = client_of_a_release();
+    server.repository.targets = targets_with("packs/b", b"y");
+    server.publish(&[]);
+    let targets = server.files.remove("2.targets.json").unwrap();
+    assert_eq!(server.refresh(&mut client, NOW).unwrap_err().kind(), "missing");
+    server.files.insert("2.targets.json".into(), targets);
+    server.files.remove("2.snapshot.json").unwrap();
+    assert_eq!(server.refresh(&mut client, NOW), Ok(Progress::UpToDate));
+    assert!(server.find(&mut client, "packs/b").is_ok());
+}
+
+/// Guards against stored targets metadata that is older than the stored snapshot and counts as up to date.
+#[rstest]
+fn stored_targets_that_the_stored_snapshot_does_not_list_are_fetched_again() {
+    let (mut server, mut client) = client_of_a_release();
+    let old_targets = client.trusted_state().targets;
+    server.repository.targets = targets_with("packs/b", b"y");
+    server.publish(&[]);
+    assert_eq!(server.refresh(&mut client, NOW), Ok(Progress::UpToDate));
+    let state = TrustedState { targets: old_targets, ..client.trusted_state() };
+    let mut client =
+        Client::resume(&state, VersionFloors::default(), Limits::default(), Planted::default()).unwrap();
+    assert_eq!(server.find(&mut client, "packs/a").unwrap_err().kind(), "missing");
+    assert_eq!(server.refresh(&mut client, NOW), Ok(Progress::UpToDate));
+    assert_eq!(server.find(&mut client, "packs/a").unwrap_err().kind(), "no_such_target");
+}
