--- a/crates/stagepond-sidecar/src/event_loop.rs
+++ b/crates/stagepond-sidecar/src/event_loop.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 
 use anyhow::{Context, Result};
+use stagepond::host::Build;
 use stagepond_leadership::ids::{Seat, Tenths};
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::{mpsc, watch, Notify};
@@ -303,6 +304,20 @@
         LeadershipEvent::SnapshotInstalled { number } => {
             tracing::info!(event = "caught_up", number = number.0, "snapshot of the log installed")
         }
+        LeadershipEvent::TrialLimitsRead { number, frozen, held } => {
+            let builds = |builds: Vec<Build>| builds.into_iter().map(|build| build.0).collect::<Vec<_>>();
+            let (frozen, held) = (builds(frozen), builds(held));
+            tracing::info!(
+                event = "trial_limits",
+                number = number.0,
+                ?frozen,
+                ?held,
+                "limits on trials read from the log"
+            )
+        }
+        LeadershipEvent::ApprovalHeldBack { build, stage } => {
+            tracing::info!(event = "vote_held", build = build.0, stage, "no approval, the build is frozen")
+        }
         LeadershipEvent::Bootstrapped { term } => {
             tracing::warn!(event = "founded", term = term.0, "new era bootstrapped by the whole pool")
         }
--- a/crates/stagepond-sidecar/src/leadership.rs
+++ b/crates/stagepond-sidecar/src/leadership.rs
@@ -11,7 +11,7 @@
     Effect as InstanceEffect, Input as InstanceInput, Instance, InstanceConfig,
 };
 use stagepond_leadership::lease::LeaderLease;
-use stagepond_leadership::log::{Command, Subject, VoteChoice};
+use stagepond_leadership::log::{Command, Entry, Subject, VoteChoice};
 use stagepond_leadership::planted::Planted;
 use stagepond_leadership::raft::PersistentState;
 use stagepond_leadership::seal::FORMAT_BYTE;
@@ -33,6 +33,11 @@
     CommandCommitted { term: Term, number: Number, holder: Seat, decree: String },
     /// A snapshot from another instance, up to entry `number`, replaced the local log.
     SnapshotInstalled { number: Number },
+    /// The limits on trials were read from the committed log as a whole, at the start or after a snapshot.
+    /// `frozen` are the builds that its commands freeze, `held` those whose share is held here.
+    TrialLimitsRead { number: Number, frozen: Vec<Build>, held: Vec<Build> },
+    /// An approval was not proposed because its build is frozen.
+    ApprovalHeldBack { build: Build, stage: u32 },
     /// The whole pool agreed on a new group of voters, which begins an era: at the first start, or because no
     /// quorum that remembers the earlier voters was left.
     Bootstrapped { term: Term },
@@ -67,6 +72,8 @@
     next_drop_report: Tenths,
     /// The share last passed to the decision module.
     applied_share: Option<(Build, f64)>,
+    /// The approval that was last reported as held back.
+    reported_approval: Option<(Build, u32)>,
 }
 
 /// What the reducer has to do after a step.
@@ -121,9 +128,38 @@
             reported_drops: 0,
             next_drop_report: now,
             applied_share: None,
+            reported_approval: None,
         }
     }
 
+    /// Reports the limits on trials that an earlier process left behind, if any. To be called once, before any
+    /// input.
+    pub fn start(&mut self) -> StepOutcome {
+        let mut outcome = StepOutcome::default();
+        if self.instance.raft().log().commit_number() > Number(0) {
+            outcome.effects.push(self.report_trial_limits());
+        }
+        outcome
+    }
+
+    fn report_trial_limits(&self) -> Effect {
+        Effect::LogLeadershipEvent(LeadershipEvent::TrialLimitsRead {
+            number: self.instance.raft().log().commit_number(),
+            frozen: self.committed_freezes().into_iter().collect(),
+            held: self.frozen_shares.keys().copied().collect(),
+        })
+    }
+
+    /// The builds that committed commands freeze.
+    fn committed_freezes(&self) -> BTreeSet<Build> {
+        let committed = &self.instance.raft().log().committed().subjects;
+        let frozen_build = |entry: &Entry| match entry.command {
+            Command::Freeze { build, frozen: true } => Some(Build(build)),
+            _ => None,
+        };
+        committed.values().filter_map(frozen_build).collect()
+    }
+
     /// Time by which `tick` must be called.
     pub fn next_due(&self) -> Tenths {
         self.instance.next_due()
@@ -214,14 +250,7 @@
         if !self.is_leader {
             return outcome;
         }
-        let committed = &self.instance.raft().log().committed().subjects;
-        let frozen: BTreeSet<Build> = committed
-            .values()
-            .filter_map(|entry| match entry.command {
-                Command::Freeze { build, frozen: true } => Some(Build(build)),
-                _ => None,
-            })
-            .collect();
+        let frozen = self.committed_freezes();
         let changes: Vec<(Build, bool)> = self
             .requested_freezes
             .difference(&frozen)
@@ -244,7 +273,7 @@
     ) -> StepOutcome {
         let voice = match verdict {
             Some(Verdict::On) if self.frozen_shares.contains_key(&build) => {
-                return StepOutcome::default();
+                return self.hold_back_approval(build, stage);
             }
             Some(Verdict::On) => VoteChoice::On,
             Some(Verdict::Hold) => VoteChoice::Hold,
@@ -254,6 +283,16 @@
         self.step(now, InstanceInput::Command(Command::Vote { build: build.0, stage, voice }))
     }
 
+    /// Reports an approval that is not proposed, once until another one is held back.
+    fn hold_back_approval(&mut self, build: Build, stage: u32) -> StepOutcome {
+        let mut outcome = StepOutcome::default();
+        if self.reported_approval.replace((build, stage)) != Some((build, stage)) {
+            let event = LeadershipEvent::ApprovalHeldBack { build, stage };
+            outcome.effects.push(Effect::LogLeadershipEvent(event));
+        }
+        outcome
+    }
+
     /// Takes a rollout status from the platform and returns it with its cap limited to the share that may be
     /// used here. A status of an older build than the last one is limited but not remembered.
     pub fn on_rollout_status(&mut self, now: Tenths, status: RolloutStatus) -> (RolloutStatus, StepOutcome) {
@@ -353,6 +392,7 @@
                         .effects
                         .push(Effect::LogLeadershipEvent(LeadershipEvent::SnapshotInstalled { number }));
                     self.apply_committed_shares();
+                    outcome.effects.push(self.report_trial_limits());
                 }
                 InstanceEffect::Bootstrapped { era } => {
                     let term = Term::first_of_era(era);
--- a/crates/stagepond-sidecar/src/reducer.rs
+++ b/crates/stagepond-sidecar/src/reducer.rs
@@ -316,6 +316,7 @@
         if reducer.leadership.is_some() {
             // Without a leader no sidecar may vote.
             reducer.balancer.on_leadership(&mut reducer.host, Vec::new(), false);
+            reducer.step_leadership(|leadership, _| leadership.start());
         }
         reducer.on_pod_list(known_pods);
         if let Some(status) = status {
