--- a/crates/stagepond-sidecar/src/leadership.rs
+++ b/crates/stagepond-sidecar/src/leadership.rs
@@ -3,7 +3,7 @@
 //! last rollout status from the platform. Does no I/O. A vote is cast only under a leader lease, and with
 //! `widen_by_decree` a trial's share grows past its first stage only by a committed command.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 
 use stagepond::host::*;
 use stagepond_leadership::ids::{Life, Number, Seat, Term};
@@ -11,7 +11,7 @@
     Effect as InstanceEffect, Input as InstanceInput, Instance, InstanceConfig,
 };
 use stagepond_leadership::lease::LeaderLease;
-use stagepond_leadership::log::{Command, Entry, Subject, VoteChoice};
+use stagepond_leadership::log::{Command, Entry, VoteChoice};
 use stagepond_leadership::planted::Planted;
 use stagepond_leadership::raft::PersistentState;
 use stagepond_leadership::seal::FORMAT_BYTE;
@@ -19,6 +19,7 @@
 
 use crate::messages::{Effect, RolloutStatus};
 use crate::operators::{KeyRing, LeadershipConfig};
+use crate::trial_limits::{share_in_millionths, TrialLimits};
 
 /// A leadership event to be logged. Each variant has its own `event` value in the log, and its fields have
 /// the names of the log's keys. `why` is a reason as text, `decree` a command of the replicated log in its
@@ -56,12 +57,9 @@
     instance: Instance,
     /// Whether a trial's share may grow past its first stage only by a committed command.
     widen_by_decree: bool,
+    limits: TrialLimits,
     /// The last rollout status from the platform and when it arrived.
     last_status: Option<(RolloutStatus, Tenths)>,
-    /// Share of each build allowed by committed commands, in millionths.
-    committed_shares: BTreeMap<Build, u32>,
-    /// Builds whose trial is frozen, with the share (0 to 1) in use when the freeze took effect.
-    frozen_shares: BTreeMap<Build, f64>,
     /// Builds that the operators' file wants frozen.
     requested_freezes: BTreeSet<Build>,
     is_leader: bool,
@@ -70,8 +68,6 @@
     reported_drops: u64,
     /// Earliest time of the next report of dropped datagrams.
     next_drop_report: Tenths,
-    /// The share last passed to the decision module.
-    applied_share: Option<(Build, f64)>,
     /// The approval that was last reported as held back.
     reported_approval: Option<(Build, u32)>,
 }
@@ -90,8 +86,6 @@
 
 /// Dropped datagrams are reported at most once per interval, so that their sender can't flood the log.
 const DROP_REPORT_INTERVAL: Tenths = Tenths::ms(1000);
-/// Scale of the shares in commands.
-const MILLIONTHS: f64 = 1_000_000.0;
 
 /// Whether a datagram belongs to the leadership protocol, by its first byte. The decision module's messages
 /// never begin with that byte.
@@ -117,17 +111,15 @@
             planted: Planted::default(),
         });
         LeadershipController {
-            instance,
             widen_by_decree: config.widen_by_decree,
+            limits: TrialLimits::new(config.widen_by_decree, instance.raft().log().committed()),
+            instance,
             last_status: None,
-            committed_shares: BTreeMap::new(),
-            frozen_shares: BTreeMap::new(),
             requested_freezes: config.frozen_builds.iter().copied().collect(),
             is_leader: false,
             voters: Vec::new(),
             reported_drops: 0,
             next_drop_report: now,
-            applied_share: None,
             reported_approval: None,
         }
     }
@@ -146,7 +138,7 @@
         Effect::LogLeadershipEvent(LeadershipEvent::TrialLimitsRead {
             number: self.instance.raft().log().commit_number(),
             frozen: self.committed_freezes().into_iter().collect(),
-            held: self.frozen_shares.keys().copied().collect(),
+            held: self.limits.frozen_builds().collect(),
         })
     }
 
@@ -167,7 +159,7 @@
 
     /// The build on trial and its share (0 to 1) as last passed to the decision module.
     pub fn effective_share(&self) -> Option<(Build, f64)> {
-        self.applied_share
+        self.limits.applied_share()
     }
 
     /// The protocol instance, for inspection.
@@ -257,8 +249,9 @@
             .map(|build| (*build, true))
             .chain(frozen.difference(&self.requested_freezes).map(|build| (*build, false)))
             .collect();
-        for (Build(build), frozen) in changes {
-            let step = self.step(now, InstanceInput::Command(Command::Freeze { build, frozen }));
+        for (build, frozen) in changes {
+            let freeze = Command::Freeze { build: build.0, frozen };
+            let step = self.step(now, InstanceInput::Command(freeze));
             outcome.effects.extend(step.effects);
             outcome.share_changed |= step.share_changed;
             outcome.leadership_change = step.leadership_change.or(outcome.leadership_change);
@@ -272,8 +265,9 @@
         &mut self, now: Tenths, build: Build, stage: u32, verdict: Option<Verdict>,
     ) -> StepOutcome {
         let voice = match verdict {
-            Some(Verdict::On) if self.frozen_shares.contains_key(&build) => {
-                return self.hold_back_approval(build, stage);
+            Some(Verdict::On) if self.is_frozen(build) => {
+                let effects = self.hold_back_approval(build, stage).into_iter().collect();
+                return StepOutcome { effects, ..StepOutcome::default() };
             }
             Some(Verdict::On) => VoteChoice::On,
             Some(Verdict::Hold) => VoteChoice::Hold,
@@ -283,56 +277,42 @@
         self.step(now, InstanceInput::Command(Command::Vote { build: build.0, stage, voice }))
     }
 
-    /// Reports an approval that is not proposed, once until another one is held back.
-    fn hold_back_approval(&mut self, build: Build, stage: u32) -> StepOutcome {
-        let mut outcome = StepOutcome::default();
-        if self.reported_approval.replace((build, stage)) != Some((build, stage)) {
-            let event = LeadershipEvent::ApprovalHeldBack { build, stage };
-            outcome.effects.push(Effect::LogLeadershipEvent(event));
-        }
-        outcome
+    /// Whether a committed command freezes the build.
+    fn is_frozen(&self, build: Build) -> bool {
+        self.limits.is_frozen(build)
+    }
+
+    /// The report of an approval that is not cast, once until another one is held back.
+    fn hold_back_approval(&mut self, build: Build, stage: u32) -> Option<Effect> {
+        let is_reported = self.reported_approval.replace((build, stage)) == Some((build, stage));
+        let event = LeadershipEvent::ApprovalHeldBack { build, stage };
+        (!is_reported).then_some(Effect::LogLeadershipEvent(event))
+    }
+
+    /// Takes the rollout status that the configuration had at the start and returns it with its cap limited to
+    /// the share that may be used here. It may be older than the share that an earlier process used.
+    pub fn on_configured_status(&mut self, now: Tenths, status: RolloutStatus) -> RolloutStatus {
+        self.last_status = Some((status, now));
+        self.limits.limit(status)
     }
 
     /// Takes a rollout status from the platform and returns it with its cap limited to the share that may be
     /// used here. A status of an older build than the last one is limited but not remembered.
     pub fn on_rollout_status(&mut self, now: Tenths, status: RolloutStatus) -> (RolloutStatus, StepOutcome) {
+        self.limits.on_platform_status(status);
         let is_current = self.last_status.is_none_or(|(last, _)| status.build >= last.build);
         if is_current {
             self.last_status = Some((status, now));
         }
         let outcome = if is_current { self.propose_widening(now) } else { StepOutcome::default() };
-        (self.limit_share(status), outcome)
+        (self.limits.limit(status), outcome)
     }
 
     /// The last rollout status with its age as of `now` and its cap limited to the share that may be used.
     pub fn current_status(&mut self, now: Tenths) -> Option<RolloutStatus> {
         let (status, received_at) = self.last_status?;
         let age = status.age + (now - received_at);
-        Some(self.limit_share(RolloutStatus { age, ..status }))
-    }
-
-    /// Limits the cap of a trial to what committed commands allow. A lower cap from the platform applies at
-    /// once, and a release is the platform's decision alone; only growth waits for a command.
-    fn limit_share(&mut self, status: RolloutStatus) -> RolloutStatus {
-        let mut cap = status.cap;
-        if status.phase == Phase::Trial {
-            if self.widen_by_decree && status.stage > 0 {
-                let committed = self
-                    .committed_shares
-                    .get(&status.build)
-                    .map_or(0.0, |share| f64::from(*share) / MILLIONTHS);
-                // The share in use stays allowed until a committed command raises it.
-                let in_use = self.share_in_use(status.build);
-                cap = cap.min(committed.max(in_use));
-            }
-            cap = self.frozen_shares.get(&status.build).map_or(cap, |frozen| cap.min(*frozen));
-        }
-        self.applied_share = Some((status.build, cap));
-        RolloutStatus { cap, ..status }
-    }
-
-    fn share_in_use(&self, build: Build) -> f64 {
-        self.applied_share.filter(|(applied, _)| *applied == build).map_or(0.0, |(_, cap)| cap)
+        Some(self.limits.limit(RolloutStatus { age, ..status }))
     }
 
     /// On the leader, proposes a wider share if the platform's cap has grown past the committed share.
@@ -340,10 +320,9 @@
         let Some((status, _)) = self.last_status.filter(|_| self.widen_by_decree && self.is_leader) else {
             return StepOutcome::default();
         };
-        let share = (status.cap * MILLIONTHS).floor() as u32;
-        let is_wider = status.stage > 0
-            && self.committed_shares.get(&status.build).is_none_or(|committed| *committed < share);
-        if status.phase != Phase::Trial || !is_wider || self.frozen_shares.contains_key(&status.build) {
+        let share = share_in_millionths(status.cap);
+        let is_wider = status.stage > 0 && !self.limits.is_share_committed(status.build, share);
+        if status.phase != Phase::Trial || !is_wider || self.is_frozen(status.build) {
             return StepOutcome::default();
         }
         let command = Command::Widen { build: status.build.0, stage: status.stage, share };
@@ -376,9 +355,9 @@
                         .push(Effect::LogLeadershipEvent(LeadershipEvent::SteppedDown { term, why }));
                 }
                 InstanceEffect::Committed { entry, lease } => {
-                    let vote = vote_effect(&entry.command, lease);
+                    let vote = self.vote_effect(&entry.command, lease);
                     let (term, number, holder) = (entry.term, entry.number, entry.leader);
-                    outcome.share_changed |= self.apply_command(&entry.command);
+                    outcome.share_changed |= self.limits.apply(&entry.command);
                     // Widening that the freeze held back is proposed again.
                     propose_again |= matches!(entry.command, Command::Freeze { frozen: false, .. });
                     let decree = format!("{:?}", entry.command);
@@ -391,7 +370,7 @@
                     outcome
                         .effects
                         .push(Effect::LogLeadershipEvent(LeadershipEvent::SnapshotInstalled { number }));
-                    self.apply_committed_shares();
+                    self.limits.read(self.instance.raft().log().committed());
                     outcome.effects.push(self.report_trial_limits());
                 }
                 InstanceEffect::Bootstrapped { era } => {
@@ -435,47 +414,18 @@
         Some((voters, is_leader))
     }
 
-    /// Updates the share limits from a committed command. Returns whether it affects the share of a trial.
-    fn apply_command(&mut self, command: &Command) -> bool {
-        match *command {
-            Command::Widen { build, share, .. } => {
-                self.committed_shares.insert(Build(build), share);
-                true
-            }
-            Command::Freeze { build, frozen } => {
-                let build = Build(build);
-                if frozen {
-                    let share = self.share_in_use(build);
-                    self.frozen_shares.entry(build).or_insert(share);
-                } else {
-                    self.frozen_shares.remove(&build);
-                }
-                true
-            }
-            Command::Opening | Command::Voters(_) | Command::Vote { .. } => false,
-        }
-    }
-
-    /// Applies every committed command that limits a share, after the log was replaced as a whole.
-    fn apply_committed_shares(&mut self) {
-        let subjects = self.instance.raft().log().committed().subjects.clone();
-        let limits_share =
-            |subject: &Subject| matches!(subject, Subject::Widen { .. } | Subject::Freeze { .. });
-        for (_, entry) in subjects.iter().filter(|(subject, _)| limits_share(subject)) {
-            self.apply_command(&entry.command);
-        }
+    /// The effect that casts a committed vote. Only the leader gets a lease with a committed command, so only
+    /// the leader casts the vote. An approval whose build has been frozen since it was proposed is held back.
+    fn vote_effect(&mut self, command: &Command, lease: Option<LeaderLease>) -> Option<Effect> {
+        let (&Command::Vote { build, stage, voice }, Some(lease)) = (command, lease) else { return None };
+        let build = Build(build);
+        let verdict = match voice {
+            VoteChoice::On if self.is_frozen(build) => return self.hold_back_approval(build, stage),
+            VoteChoice::On => Some(Verdict::On),
+            VoteChoice::Hold => Some(Verdict::Hold),
+            VoteChoice::Back => Some(Verdict::Back),
+            VoteChoice::Withdrawn => None,
+        };
+        Some(Effect::CastVote { build, stage, verdict, lease: Some(lease) })
     }
 }
-
-/// The effect that casts a committed vote. Only the leader gets a lease with a committed command, so only the
-/// leader casts the vote.
-fn vote_effect(command: &Command, lease: Option<LeaderLease>) -> Option<Effect> {
-    let (&Command::Vote { build, stage, voice }, Some(lease)) = (command, lease) else { return None };
-    let verdict = match voice {
-        VoteChoice::On => Some(Verdict::On),
-        VoteChoice::Hold => Some(Verdict::Hold),
-        VoteChoice::Back => Some(Verdict::Back),
-        VoteChoice::Withdrawn => None,
-    };
-    Some(Effect::CastVote { build: Build(build), stage, verdict, lease: Some(lease) })
-}
--- a/crates/stagepond-sidecar/src/lib.rs
+++ b/crates/stagepond-sidecar/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod state_files;
 pub mod stream;
 pub mod target_cache;
+pub mod trial_limits;
 pub mod verification;
 #[cfg(test)]
 mod verification_tests;
--- a/crates/stagepond-sidecar/src/reducer.rs
+++ b/crates/stagepond-sidecar/src/reducer.rs
@@ -320,7 +320,7 @@
         }
         reducer.on_pod_list(known_pods);
         if let Some(status) = status {
-            reducer.on_rollout_status(Ok(status), false);
+            reducer.on_configured_status(status);
         }
         reducer.drain_queues();
         let effects = std::mem::take(&mut reducer.host.effects);
@@ -739,6 +739,16 @@
         });
     }
 
+    /// Handles the rollout status that the configuration had at the start.
+    fn on_configured_status(&mut self, status: RolloutStatus) {
+        let now = self.host.now;
+        let allowed_status = match &mut self.leadership {
+            Some(leadership) => leadership.on_configured_status(now, status),
+            None => status,
+        };
+        self.report_rollout_status(Ok(allowed_status), false);
+    }
+
     /// Handles a rollout status from the platform: an event of its stream or, if `answers_vote`, its answer
     /// to a vote. Leadership, if it is on, may reduce the share that the module receives.
     fn on_rollout_status(&mut self, result: Result<RolloutStatus, Ending>, answers_vote: bool) {
