--- a/crates/stagepond-sidecar/src/leadership.rs
+++ b/crates/stagepond-sidecar/src/leadership.rs
@@ -277,9 +277,10 @@
         self.step(now, InstanceInput::Command(Command::Vote { build: build.0, stage, voice }))
     }
 
-    /// Whether a committed command freezes the build.
+    /// Whether a committed command freezes the build or, on the leader, its operators' file asks for that: the
+    /// command may still wait for its quorum.
     fn is_frozen(&self, build: Build) -> bool {
-        self.limits.is_frozen(build)
+        self.limits.is_frozen(build) || (self.is_leader && self.requested_freezes.contains(&build))
     }
 
     /// The report of an approval that is not cast, once until another one is held back.
@@ -393,7 +394,7 @@
         }
         outcome.leadership_change = self.update_leadership(now);
         if propose_again {
-            for proposal in [self.propose_widening(now), self.propose_freezes(now)] {
+            for proposal in [self.propose_freezes(now), self.propose_widening(now)] {
                 outcome.effects.extend(proposal.effects);
                 outcome.share_changed |= proposal.share_changed;
             }
--- a/crates/stagepond-sidecar/src/leadership_tests.rs
+++ b/crates/stagepond-sidecar/src/leadership_tests.rs
@@ -303,3 +303,43 @@
         assert_eq!(cluster.share(follower), expected);
     }
 }
+
+/// Guards against an approval that is committed right behind the freeze, by a leader whose freeze still waited
+/// for its quorum when it proposed both.
+#[rstest]
+fn a_leader_approves_no_build_while_its_freeze_waits_to_be_committed() {
+    let config = config_for(1, true);
+    let mut leadership = LeadershipController::new(START_TIME, Peer(0), 1, &config, None);
+    let mut now = START_TIME;
+    let mut effects = Vec::new();
+    while leadership.instance().lease(now).is_none() {
+        now = now + TICK_INTERVAL;
+        assert!(now < START_TIME + Tenths::ms(20_000), "no leader");
+        effects.extend(leadership.tick(now).effects);
+        effects = confirm_write(&mut leadership, now, &effects);
+    }
+    while requested_write(&effects).is_some() {
+        effects = confirm_write(&mut leadership, now, &effects);
+    }
+    effects = leadership.reload_config(now, &frozen_build_2(config)).effects;
+    effects.extend(leadership.propose_vote(now, Build(2), 0, Some(Verdict::On)).effects);
+    while requested_write(&effects).is_some() {
+        effects = confirm_write(&mut leadership, now, &effects);
+        assert!(!effects.iter().any(|effect| matches!(effect, Effect::CastVote { .. })), "{effects:?}");
+    }
+    assert_eq!(leadership.instance().raft().log().uncommitted_len(), 0);
+}
+
+/// The write that these effects ask for.
+fn requested_write(effects: &[Effect]) -> Option<u64> {
+    effects.iter().find_map(|effect| match effect {
+        Effect::PersistRaftState { number, .. } => Some(*number),
+        _ => None,
+    })
+}
+
+/// Confirms the requested write, if there is one. Returns the effects of that.
+fn confirm_write(leadership: &mut LeadershipController, now: Tenths, effects: &[Effect]) -> Vec<Effect> {
+    let number = requested_write(effects);
+    number.map(|number| leadership.on_state_persisted(now, number).effects).unwrap_or_default()
+}
