--- a/crates/stagepond-sidecar/src/leadership.rs
+++ b/crates/stagepond-sidecar/src/leadership.rs
@@ -250,15 +250,28 @@
             .chain(frozen.difference(&self.requested_freezes).map(|build| (*build, false)))
             .collect();
         for (build, frozen) in changes {
+            let share = if frozen { self.share_command(build) } else { None };
             let freeze = Command::Freeze { build: build.0, frozen };
-            let step = self.step(now, InstanceInput::Command(freeze));
-            outcome.effects.extend(step.effects);
-            outcome.share_changed |= step.share_changed;
-            outcome.leadership_change = step.leadership_change.or(outcome.leadership_change);
+            for command in share.into_iter().chain([freeze]) {
+                let step = self.step(now, InstanceInput::Command(command));
+                outcome.effects.extend(step.effects);
+                outcome.share_changed |= step.share_changed;
+                outcome.leadership_change = step.leadership_change.or(outcome.leadership_change);
+            }
         }
         outcome
     }
 
+    /// The command that names the share in use of a build that is about to be frozen, so that it outlives a
+    /// restart. `None` unless the build is on trial.
+    fn share_command(&self, build: Build) -> Option<Command> {
+        let (status, _) = self.last_status?;
+        let is_on_trial = status.build == build && status.phase == Phase::Trial;
+        let (_, share) =
+            self.limits.applied_share().filter(|(applied, _)| is_on_trial && *applied == build)?;
+        Some(Command::Widen { build: build.0, stage: status.stage, share: share_in_millionths(share) })
+    }
+
     /// Proposes the decision module's vote as a command; the vote is cast once that is committed. Only the
     /// leader's proposals are accepted. An approval (`Verdict::On`) of a frozen build is not proposed.
     pub fn propose_vote(
--- a/crates/stagepond-sidecar/src/leadership_tests.rs
+++ b/crates/stagepond-sidecar/src/leadership_tests.rs
@@ -289,6 +289,30 @@
     assert_eq!(cluster.share(follower), 0.4);
 }
 
+/// Guards against growth during a freeze: a restarted sidecar took the platform's present cap for the share
+/// at which the trial is held.
+#[rstest]
+#[case::with_a_state_file(true)]
+#[case::without(false)]
+fn a_frozen_trial_does_not_grow_by_a_restart(#[case] durable: bool) {
+    let (mut cluster, leader) = Cluster::with_leader_and(LeadershipConfig {
+        widen_by_decree: false,
+        ..config_for(SIDECARS, durable)
+    });
+    cluster.set_trial(0, 0.1);
+    let addresses = ServiceAddresses { discovery: ([127, 0, 0, 1], 1).into(), platform: None };
+    let leadership = Some(frozen_build_2(cluster.config.clone()));
+    cluster.apply(leader, Input::ConfigRead(Ok(ReloadableConfig { addresses, leadership })));
+    cluster.advance(Tenths::ms(1500));
+    cluster.set_trial(1, 0.4);
+    let follower = (leader + 1) % SIDECARS;
+    cluster.restart(follower);
+    cluster.report_trial(follower, 1, 0.4);
+    cluster.advance(Tenths::ms(3000));
+    cluster.report_trial(follower, 1, 0.4);
+    assert_eq!(cluster.share(follower), 0.1);
+}
+
 /// A freeze that the log of an earlier build has, without the share: the platform's first word tells it.
 #[rstest]
 fn a_frozen_trial_without_a_committed_share_is_held_at_the_first_share_after_a_restart() {
