--- a/crates/stagepond-leadership/src/log.rs
+++ b/crates/stagepond-leadership/src/log.rs
@@ -173,8 +173,12 @@
     pub subjects: BTreeMap<Subject, Entry>,
 }
 
-/// Subjects that a snapshot keeps. Beyond this number the one with the oldest entry is removed.
+/// Subjects that a snapshot keeps. Beyond this number the one with the oldest entry is removed, see
+/// [`MAX_SPARED_FREEZES`] for an exception.
 pub const MAX_SUBJECTS: usize = 48;
+/// Freezes in force that are kept however old they are. Fewer than [`MAX_SUBJECTS`], so that the latest commands
+/// on other subjects keep their places.
+pub const MAX_SPARED_FREEZES: usize = 16;
 /// Entries kept besides the snapshot, so that a follower that lacks a few of them does not need the whole
 /// snapshot. Beyond this number the oldest committed ones are compacted.
 pub const MAX_COMMITTED_ENTRIES: usize = 32;
@@ -190,12 +194,22 @@
         if let Some(subject) = entry.command.subject() {
             self.subjects.insert(subject, entry.clone());
             if self.subjects.len() > MAX_SUBJECTS {
-                let oldest = self.subjects.iter().min_by_key(|(_, e)| e.number).map(|(s, _)| *s);
-                oldest.map(|s| self.subjects.remove(&s));
+                self.remove_oldest_subject();
             }
         }
     }
 
+    /// Removes the subject with the oldest entry, but no freeze in force while there are at most
+    /// [`MAX_SPARED_FREEZES`]: what one forbids would be allowed again to whoever reads this state.
+    fn remove_oldest_subject(&mut self) {
+        let is_freeze = |entry: &Entry| matches!(entry.command, Command::Freeze { frozen: true, .. });
+        let spares_freezes = self.subjects.values().filter(|e| is_freeze(e)).count() <= MAX_SPARED_FREEZES;
+        let is_removable = |entry: &Entry| !spares_freezes || !is_freeze(entry);
+        let removable = self.subjects.iter().filter(|(_, entry)| is_removable(entry));
+        let oldest = removable.min_by_key(|(_, entry)| entry.number).map(|(subject, _)| *subject);
+        oldest.map(|subject| self.subjects.remove(&subject));
+    }
+
     /// Whether a snapshot read from disk or from a peer is within the limits of this program.
     pub fn is_valid(&self) -> bool {
         let voters = self.voters == Voters::default() || self.voters.is_valid();
