--- a/crates/stagepond-sidecar/src/event_loop.rs
+++ b/crates/stagepond-sidecar/src/event_loop.rs
@@ -349,6 +349,9 @@
                 "{why}"
             );
         }
+        VerificationEvent::TargetFound { path, role, parent, checked_for } => {
+            tracing::debug!(event = "target_found", path, role, parent, ?checked_for, "target found")
+        }
         VerificationEvent::UsingExpiredMetadata { since } => {
             tracing::error!(
                 event = "goes_on_ended",
--- a/crates/stagepond-sidecar/src/verification.rs
+++ b/crates/stagepond-sidecar/src/verification.rs
@@ -9,7 +9,7 @@
 use stagepond_tuf::client::{
     Client, FileRequest, Limits, MetadataError, Progress, TrustedState, VersionFloors,
 };
-use stagepond_tuf::metadata::{UnixSeconds, Version};
+use stagepond_tuf::metadata::{RoleName, UnixSeconds, Version};
 use stagepond_tuf::planted::Planted;
 use stagepond_tuf::target::{TargetError, TargetVerifier};
 
@@ -91,6 +91,9 @@
         trusted: Vec<&'static str>,
         usable_targets: usize,
     },
+    /// A search found a target. `checked_for` are the parents by whose keys the metadata of `role` was checked;
+    /// `parent` is the one through which the search came.
+    TargetFound { path: String, role: String, parent: String, checked_for: Vec<String> },
     /// The trusted metadata expired at `since` and stays in use under `ExpiredMetadataPolicy::UseFor`.
     UsingExpiredMetadata { since: String },
 }
@@ -347,6 +350,13 @@
         self.cached_targets.remove_errors();
     }
 
+    fn report_found(&mut self, role: &RoleName, parent: RoleName) {
+        let Some(path) = self.current_search.clone() else { return };
+        let checked_for = self.client.parents_checked_for(role).into_iter().map(|parent| parent.0).collect();
+        let role = role.0.clone();
+        self.events.push(VerificationEvent::TargetFound { path, role, parent: parent.0, checked_for });
+    }
+
     fn report_refusal(&mut self, now: Tenths, error: &MetadataError, again_in: Tenths) {
         self.events.push(VerificationEvent::MetadataRefused {
             kind: error.kind(),
@@ -369,7 +379,8 @@
     ) -> Option<FileRequest> {
         let found = match result {
             Ok(Progress::NeedFile(request)) => return Some(request),
-            Ok(Progress::TargetFound { target, expires, .. }) => {
+            Ok(Progress::TargetFound { target, role, parent, expires }) => {
+                self.report_found(&role, parent);
                 let usable_until = UnixSeconds(expires.0 + self.expiry_grace_seconds());
                 Ok(FoundTarget { target, usable_until })
             }
--- a/crates/stagepond-tuf/src/client.rs
+++ b/crates/stagepond-tuf/src/client.rs
@@ -180,6 +180,14 @@
     parent: RoleName,
 }
 
+/// Targets metadata in memory. Each parent lists keys of its own for a role, so a file that is trusted for one
+/// of them is not for another.
+struct LoadedTargets {
+    file: SignedMetadata<Targets>,
+    /// The parents by whose keys the file was checked.
+    checked_for: BTreeSet<RoleName>,
+}
+
 /// State of a search for a target through the delegations (section 5.6.7).
 #[derive(Clone, Debug)]
 struct Search {
@@ -198,9 +206,9 @@
     NeedFile(FileRequest),
     /// The refresh is complete: all top-level metadata is trusted and not expired.
     UpToDate,
-    /// The search is complete: `role` lists the target. The first of all files that the search went by expires
-    /// at `expires`, and with it the result.
-    TargetFound { target: Target, role: RoleName, expires: UnixSeconds },
+    /// The search is complete: `role`, to which `parent` delegates, lists the target. The first of all files
+    /// that the search went by expires at `expires`, and with it the result.
+    TargetFound { target: Target, role: RoleName, parent: RoleName, expires: UnixSeconds },
 }
 
 /// A TUF client for one repository. [`Client::refresh`] updates the top-level metadata,
@@ -213,7 +221,7 @@
     /// The trusted snapshot and its bytes as received.
     snapshot: Option<(SignedMetadata<Snapshot>, Vec<u8>)>,
     /// Trusted targets metadata, of the top-level role and of delegated ones.
-    targets: BTreeMap<RoleName, SignedMetadata<Targets>>,
+    targets: BTreeMap<RoleName, LoadedTargets>,
     /// Bytes of the top-level targets metadata as received.
     targets_bytes: Option<Vec<u8>>,
     floors: VersionFloors,
@@ -295,7 +303,7 @@
         if let Some(bytes) = &state.targets {
             let file = SignedMetadata::<Targets>::parse(bytes).map_err(malformed(TARGETS))?;
             client.check_top_level_signatures(TARGETS, &client.root.signed, &file)?;
-            client.targets.insert(top_level_targets(), file);
+            client.insert_targets(top_level_targets(), top_level_targets(), file);
             client.targets_bytes = Some(bytes.clone());
         }
         Ok(client)
@@ -316,7 +324,7 @@
         let mut roles = vec![(ROOT, self.root.version, self.root.expires)];
         roles.extend(self.timestamp.iter().map(|(f, _)| (TIMESTAMP, f.version, f.expires)));
         roles.extend(self.snapshot.iter().map(|(f, _)| (SNAPSHOT, f.version, f.expires)));
-        roles.extend(self.targets.get(&top_level_targets()).map(|f| (TARGETS, f.version, f.expires)));
+        roles.extend(self.top_level_targets().map(|f| (TARGETS, f.version, f.expires)));
         roles
     }
 
@@ -386,7 +394,7 @@
             PendingFile::Snapshot => self.on_snapshot(bytes),
             PendingFile::Targets => self.on_targets(bytes),
             PendingFile::Delegated { path, role, parent } => {
-                self.on_delegated_targets(path, role, &parent, bytes)
+                self.on_delegated_targets(path, role, parent, bytes)
             }
         }
     }
@@ -615,7 +623,7 @@
         if self.snapshot.as_ref().is_none_or(|(_, trusted_bytes)| trusted_bytes != bytes) {
             self.unload_delegated_roles();
         }
-        let trusted = self.targets.get(&top_level_targets()).zip(self.targets_bytes.as_ref());
+        let trusted = self.top_level_targets().zip(self.targets_bytes.as_ref());
         let is_listed =
             snapshot.meta.get("targets.json").zip(trusted).is_some_and(|(listed, (file, bytes))| {
                 listed.version == file.version && self.check_content(TARGETS, listed, bytes).is_ok()
@@ -659,7 +667,7 @@
         let role_keys = self.root.signed.roles[TARGETS].clone();
         let file = self.verify_targets(&top_level_targets(), &self.root.signed.keys, &role_keys, bytes)?;
         self.check_floor(TARGETS, self.floors.targets, file.version)?;
-        self.targets.insert(top_level_targets(), file);
+        self.insert_targets(top_level_targets(), top_level_targets(), file);
         self.targets_bytes = Some(bytes.to_vec());
         self.check_all_expiries()
     }
@@ -701,7 +709,7 @@
             if search.visited.len() > self.limits.max_delegations {
                 return Err(MetadataError::TooManyDelegations(search.path, self.limits.max_delegations));
             }
-            let Some(file) = self.targets.get(&role) else {
+            let Some(LoadedTargets { file, .. }) = self.targets.get(&role) else {
                 let request = self.targets_request(&role)?;
                 self.pending = PendingFile::Delegated { path: search.path.clone(), role, parent };
                 self.search = Some(search);
@@ -711,7 +719,7 @@
             search.expires = search.expires.min(file.expires);
             if let Some(target) = file.signed.targets.get(&search.path) {
                 let target = target.clone();
-                return Ok(Progress::TargetFound { target, role, expires: search.expires });
+                return Ok(Progress::TargetFound { target, role, parent, expires: search.expires });
             }
             search.visited.insert(role.clone());
             let Some(delegations) = &file.signed.delegations else { continue };
@@ -739,28 +747,50 @@
     /// Checks the targets metadata of a delegated role by the keys that its parent lists, then continues with
     /// the search.
     fn on_delegated_targets(
-        &mut self, path: String, role: RoleName, parent: &RoleName, bytes: &[u8],
+        &mut self, path: String, role: RoleName, parent: RoleName, bytes: &[u8],
     ) -> Result<Progress, MetadataError> {
-        let delegations = self.targets.get(parent).and_then(|file| file.signed.delegations.as_ref());
-        let delegations = delegations.ok_or_else(|| MetadataError::NotInSnapshot { role: role.0.clone() })?;
-        let listed = delegations.roles.iter().find(|d| d.name == role);
-        let bins = delegations.succinct_roles.as_ref().filter(|bins| paths::bin_role(bins, &path) == role);
-        let role_keys = match (listed, bins) {
-            (Some(d), _) => RoleKeys { keyids: d.keyids.clone(), threshold: d.threshold },
-            (_, Some(bins)) => RoleKeys { keyids: bins.keyids.clone(), threshold: bins.threshold },
-            _ => return Err(MetadataError::NotInSnapshot { role: role.0 }),
-        };
-        let file = self.verify_targets(&role, &delegations.keys, &role_keys, bytes)?;
+        let (keys, role_keys) = self.delegated_keys(&role, &parent, &path)?;
+        let file = self.verify_targets(&role, keys, &role_keys, bytes)?;
         if let Some(search) = &mut self.search {
             search.pending.push(RoleVisit { role: role.clone(), parent: parent.clone() });
         }
-        self.targets.insert(role, file);
+        self.insert_targets(role, parent, file);
         self.continue_search()
     }
 
+    /// The keys that a parent lists for a role that it delegates this path to.
+    fn delegated_keys(
+        &self, role: &RoleName, parent: &RoleName, path: &str,
+    ) -> Result<(&BTreeMap<KeyId, Key>, RoleKeys), MetadataError> {
+        let unlisted = || MetadataError::NotInSnapshot { role: role.0.clone() };
+        let parent = self.targets.get(parent).ok_or_else(unlisted)?;
+        let delegations = parent.file.signed.delegations.as_ref().ok_or_else(unlisted)?;
+        let listed = delegations.roles.iter().find(|d| d.name == *role);
+        let bins = delegations.succinct_roles.as_ref().filter(|bins| paths::bin_role(bins, path) == *role);
+        let role_keys = match (listed, bins) {
+            (Some(d), _) => RoleKeys { keyids: d.keyids.clone(), threshold: d.threshold },
+            (_, Some(bins)) => RoleKeys { keyids: bins.keyids.clone(), threshold: bins.threshold },
+            _ => return Err(unlisted()),
+        };
+        Ok((&delegations.keys, role_keys))
+    }
+
+    fn insert_targets(&mut self, role: RoleName, parent: RoleName, file: SignedMetadata<Targets>) {
+        self.targets.insert(role, LoadedTargets { file, checked_for: BTreeSet::from([parent]) });
+    }
+
+    fn top_level_targets(&self) -> Option<&SignedMetadata<Targets>> {
+        self.targets.get(&top_level_targets()).map(|loaded| &loaded.file)
+    }
+
+    /// The parents by whose keys the file of a role that is in memory was checked, for logs.
+    pub fn parents_checked_for(&self, role: &RoleName) -> Vec<RoleName> {
+        self.targets.get(role).map(|loaded| loaded.checked_for.iter().cloned().collect()).unwrap_or_default()
+    }
+
     /// The trusted top-level targets metadata, if any.
     pub fn targets(&self) -> Option<&Targets> {
-        self.targets.get(&top_level_targets()).map(|file| &file.signed)
+        self.top_level_targets().map(|file| &file.signed)
     }
 
     /// Checks that timestamp, snapshot and top-level targets are all trusted, the latter two in the version
@@ -776,7 +806,7 @@
         let snapshot = self.snapshot.as_ref().map(|(file, _)| file);
         let listed = timestamp.signed.meta["snapshot.json"].version;
         let snapshot = snapshot.filter(|file| file.version == listed).ok_or_else(|| missing(SNAPSHOT))?;
-        let targets = self.targets.get(&top_level_targets());
+        let targets = self.top_level_targets();
         let listed = snapshot.signed.meta.get("targets.json").map(|described| described.version);
         targets.filter(|file| Some(file.version) == listed).ok_or_else(|| missing(TARGETS))?;
         Ok(())
