--- a/crates/stagepond-tuf/src/client.rs
+++ b/crates/stagepond-tuf/src/client.rs
@@ -698,9 +698,25 @@
         self.continue_search()
     }
 
-    /// Visits roles in preorder, depth first, until one lists the target or a file is needed.
+    /// Goes on with the search that is under way, and remembers which files it has checked for which parents.
     fn continue_search(&mut self) -> Result<Progress, MetadataError> {
-        let Some(mut search) = self.search.take() else { return Err(MetadataError::NotRequested) };
+        let Some(search) = self.search.take() else { return Err(MetadataError::NotRequested) };
+        let mut newly_checked = Vec::new();
+        let progress = self.visit_roles(search, &mut newly_checked);
+        for (role, parent) in newly_checked {
+            if let Some(loaded) = self.targets.get_mut(&role) {
+                loaded.checked_for.insert(parent);
+            }
+        }
+        progress
+    }
+
+    /// Visits roles in preorder, depth first, until one lists the target or a file is needed. A role that is in
+    /// memory is checked by the keys of the parent through which it is visited, unless that was done before;
+    /// such checks are added to `newly_checked`.
+    fn visit_roles(
+        &mut self, mut search: Search, newly_checked: &mut Vec<(RoleName, RoleName)>,
+    ) -> Result<Progress, MetadataError> {
         while let Some(RoleVisit { role, parent }) = search.pending.pop() {
             // Already visited: a cycle of delegations, or two paths to one role.
             if search.visited.contains(&role) {
@@ -709,12 +725,17 @@
             if search.visited.len() > self.limits.max_delegations {
                 return Err(MetadataError::TooManyDelegations(search.path, self.limits.max_delegations));
             }
-            let Some(LoadedTargets { file, .. }) = self.targets.get(&role) else {
+            let Some(LoadedTargets { file, checked_for }) = self.targets.get(&role) else {
                 let request = self.targets_request(&role)?;
                 self.pending = PendingFile::Delegated { path: search.path.clone(), role, parent };
                 self.search = Some(search);
                 return Ok(Progress::NeedFile(request));
             };
+            if !checked_for.contains(&parent) {
+                let (keys, role_keys) = self.delegated_keys(&role, &parent, &search.path)?;
+                self.check_signatures(&role.0, keys, &role_keys, file)?;
+                newly_checked.push((role.clone(), parent.clone()));
+            }
             self.check_expiry(&role.0, file.expires)?;
             search.expires = search.expires.min(file.expires);
             if let Some(target) = file.signed.targets.get(&search.path) {
--- a/crates/stagepond-tuf/tests/client.rs
+++ b/crates/stagepond-tuf/tests/client.rs
@@ -336,3 +336,69 @@
     assert_eq!(server.refresh(&mut client, NOW), Ok(Progress::UpToDate));
     assert_eq!(server.find(&mut client, "packs/a").unwrap_err().kind(), "no_such_target");
 }
+
+fn delegation(key: &SigningKey, name: &str, paths: &str) -> Delegation {
+    Delegation {
+        name: RoleName(name.into()),
+        keyids: vec![key.id().clone()],
+        threshold: 1,
+        terminating: false,
+        paths: Some(vec![paths.into()]),
+        path_hash_prefixes: None,
+    }
+}
+
+/// `packs` lists `q/a` and `p/a`. The top role delegates q/* to it, signed by the repository's key, and p/* to
+/// `venue`, which delegates p/* on to `packs` with `venue_key`.
+fn role_of_two_parents(venue_key: &SigningKey) -> TestRepository {
+    let mut server = TestRepository::new();
+    let key = SigningKey::from_seed([1; 32]);
+    let to_packs = Delegations {
+        keys: [(venue_key.id().clone(), venue_key.public_key().clone())].into(),
+        roles: vec![delegation(venue_key, "packs", "p/*")],
+        succinct_roles: None,
+    };
+    let packs = ["q/a", "p/a"].map(|path| (path.to_string(), describe_target(b"x"))).into();
+    let packs = Targets { targets: packs, delegations: None };
+    let venue = Targets { delegations: Some(to_packs), ..Targets::default() };
+    server.repository.add_delegation(delegation(&key, "packs", "q/*"), &[&key], packs);
+    server.repository.add_delegation(delegation(&key, "venue", "p/*"), &[&key], venue);
+    server.publish(&[]);
+    server
+}
+
+/// Guards against review/8: a role to which two parents delegate with different keys was checked by those of the
+/// parent through which it was first fetched, and then found through the other as well.
+#[rstest]
+#[case::fetched_through_the_other_parent_before(&["q/a", "p/a"])]
+#[case::not_fetched_before(&["p/a"])]
+#[case::asked_for_again(&["p/a", "q/a", "p/a", "p/a"])]
+fn a_role_is_trusted_through_the_parents_only_whose_keys_have_signed(#[case] paths: &[&str]) {
+    let server = role_of_two_parents(&SigningKey::from_seed([3; 32]));
+    let mut client = server.client(Limits::default());
+    assert!(server.refresh(&mut client, NOW).is_ok());
+    for path in paths {
+        let outcome = server.find(&mut client, path);
+        if path.starts_with('q') {
+            assert!(matches!(outcome, Ok(Progress::TargetFound { .. })), "{path}: {outcome:?}");
+        } else {
+            assert_eq!(outcome.unwrap_err().kind(), "threshold", "{path}");
+        }
+    }
+}
+
+/// A role that both parents' keys have signed is found through both, and fetched once.
+#[rstest]
+fn a_role_that_is_signed_for_two_parents_is_fetched_once() {
+    let mut server = role_of_two_parents(&SigningKey::from_seed([1; 32]));
+    let mut client = server.client(Limits::default());
+    assert!(server.refresh(&mut client, NOW).is_ok());
+    assert!(server.find(&mut client, "q/a").is_ok());
+    server.files.remove("1.packs.json").unwrap();
+    assert!(matches!(
+        server.find(&mut client, "p/a"),
+        Ok(Progress::TargetFound { parent, .. }) if parent.0 == "venue"
+    ));
+    let parents = client.parents_checked_for(&RoleName("packs".into()));
+    assert_eq!(parents, [RoleName(TARGETS.into()), RoleName("venue".into())]);
+}
