--- a/crates/stagepond-sidecar/src/frontend.rs
+++ b/crates/stagepond-sidecar/src/frontend.rs
@@ -16,7 +16,6 @@
 use axum::response::{IntoResponse, Response};
 use axum::routing::get;
 use axum::Router;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::header;
 use hyper::http::uri::PathAndQuery;
 use hyper::server::conn::http1;
@@ -27,6 +26,7 @@
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{mpsc, oneshot, Notify};
 
+use crate::body::{read_body, BodyError};
 use crate::client_connections::{ClientConnections, CloseSignals, ConnectionCounts, ConnectionId};
 use crate::connection::{ConnectionTrace, TracedConnection, MAX_HEAD_BYTES};
 use crate::messages::*;
@@ -375,12 +375,10 @@
         Ok(checked) => checked,
         Err(rejection) => return close_after(rejection.into_response()),
     };
-    let body = match Limited::new(body, MAX_BODY_BYTES).collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(error) if error.is::<LengthLimitError>() => {
-            return close_after(StatusCode::PAYLOAD_TOO_LARGE.into_response());
-        }
-        Err(_) => return close_after(bad_request("the body could not be read in full").into_response()),
+    let body = match read_body(body, MAX_BODY_BYTES).await {
+        Ok(body) => body,
+        Err(BodyError::TooLong) => return close_after(StatusCode::PAYLOAD_TOO_LARGE.into_response()),
+        Err(error) => return close_after(bad_request(&error.to_string()).into_response()),
     };
     let (method, uri, mut headers) = (head.method, head.uri, head.headers);
     remove_hop_by_hop_headers(&mut headers);
--- a/crates/stagepond-sidecar/src/lib.rs
+++ b/crates/stagepond-sidecar/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! The binary `stagepond` runs it on sockets; the tests drive the reducer alone.
 
+pub mod body;
 pub mod cli;
 pub mod client_connections;
 pub mod config;
--- a/crates/stagepond-sidecar/src/platform.rs
+++ b/crates/stagepond-sidecar/src/platform.rs
@@ -9,7 +9,7 @@
 
 use anyhow::{anyhow, bail, Context, Result};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::header::{CONTENT_TYPE, HOST};
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
@@ -21,6 +21,7 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
 
+use crate::body::read_body;
 use crate::config::RawRolloutStatus;
 use crate::messages::*;
 use crate::stream::{self, RateLimitedLog};
@@ -228,9 +229,8 @@
     // From here on the platform may have received the vote, so any failure means that the result is unknown.
     let response = sender.send_request(request).await.map_err(|_| Ending::TimedOut)?;
     let status = response.status();
-    let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES).collect().await;
-    let body = body.map_err(|_| Ending::TimedOut)?;
-    parse_vote_response(status, &body.to_bytes())
+    let body = read_body(response.into_body(), MAX_RESPONSE_BYTES).await;
+    parse_vote_response(status, &body.map_err(|_| Ending::TimedOut)?)
 }
 
 /// The XML form of the response to a vote that was accepted.
--- a/crates/stagepond-sidecar/src/pods.rs
+++ b/crates/stagepond-sidecar/src/pods.rs
@@ -13,7 +13,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Body;
 use hyper::header::TRANSFER_ENCODING;
 use hyper::http::uri::{Authority, Scheme, Uri};
@@ -24,6 +24,7 @@
 use tokio::sync::mpsc;
 use tokio::task::AbortHandle;
 
+use crate::body::read_body;
 use crate::config::TransportConfig;
 use crate::connection::{ConnectionTrace, TracedConnection, MAX_HEAD_BYTES};
 use crate::messages::*;
@@ -291,10 +292,10 @@
             // A body without a length ends with the connection, so one that was cut short looks complete.
             let delimited =
                 body.size_hint().exact().is_some() || head.headers.contains_key(TRANSFER_ENCODING);
-            if let (true, Ok(body)) = (delimited, Limited::new(body, MAX_BODY_BYTES).collect().await) {
+            if let (true, Ok(body)) = (delimited, read_body(body, MAX_BODY_BYTES).await) {
                 ending = response_ending(head.status, &head.headers);
                 not_found = head.status == StatusCode::NOT_FOUND;
-                response = ForwardedResponse { headers: head.headers, body: body.to_bytes() };
+                response = ForwardedResponse { headers: head.headers, body };
                 reusable = head.status != StatusCode::SWITCHING_PROTOCOLS;
             }
         }
