--- a/crates/stagepond-sidecar/src/connection.rs
+++ b/crates/stagepond-sidecar/src/connection.rs
@@ -4,7 +4,7 @@
 //! This module owns the socket, so that another part of the program can shut the connection down at once. It
 //! never changes or delays the bytes, and it parses them only as far as needed to find where a message ends.
 
-use std::io::{self, IoSliceMut};
+use std::io::{self, IoSlice, IoSliceMut};
 use std::net::{Shutdown, SocketAddr};
 use std::os::fd::AsRawFd;
 use std::pin::Pin;
@@ -55,6 +55,16 @@
         self.body_bytes_left = self.body_bytes_left.saturating_sub(bytes.len() - at);
     }
 
+    /// The operating system has taken the first `len` bytes of these slices.
+    fn on_written_vectored(&mut self, slices: &[IoSlice<'_>], len: usize) {
+        let mut left = len;
+        for slice in slices {
+            let written = slice.len().min(left);
+            self.on_written(&slice[..written]);
+            left -= written;
+        }
+    }
+
     fn is_complete(&self) -> bool {
         self.terminator_matched == HEAD_TERMINATOR.len() && self.body_bytes_left == 0
     }
@@ -379,11 +389,22 @@
 
 impl Write for TracedConnection {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        self.poll_write_vectored(cx, &[IoSlice::new(bytes)])
+    }
+
+    /// Without vectored writes hyper would copy each body behind its head before it is sent.
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>, cx: &mut Context<'_>, slices: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
         loop {
             ready!(self.stream.poll_write_ready(cx))?;
-            match self.stream.try_write(bytes) {
+            match self.stream.try_write_vectored(slices) {
                 Ok(len) => {
-                    self.trace.state().progress.on_written(&bytes[..len]);
+                    self.trace.state().progress.on_written_vectored(slices, len);
                     return Poll::Ready(Ok(len));
                 }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
@@ -419,6 +440,13 @@
             assert_eq!(progress.is_complete(), cut == message.len(), "split at {cut}");
             progress.on_written(&message.as_bytes()[cut..]);
             assert!(progress.is_complete());
+            // One write may take a part of several slices.
+            for len in 0..=message.len() {
+                let (first, second) = message.as_bytes().split_at(cut);
+                let mut progress = WriteProgress { terminator_matched: 0, body_bytes_left: body };
+                progress.on_written_vectored(&[IoSlice::new(first), IoSlice::new(second)], len);
+                assert_eq!(progress.is_complete(), len == message.len(), "split at {cut}, {len} written");
+            }
         }
     }
 
