--- a/crates/stagepond-sidecar/src/frontend.rs
+++ b/crates/stagepond-sidecar/src/frontend.rs
@@ -311,11 +311,19 @@
     }
 }
 
+/// Lets the other tasks run, and the runtime look at the sockets, before a request is answered that waits for
+/// nothing else. A client that sends such requests without a pause would otherwise get answer after answer while
+/// everything else waits.
+async fn let_others_run() {
+    tokio::task::yield_now().await;
+}
+
 /// Answers `GET /ready`: 200 while the sidecar takes invocations, otherwise 503.
 async fn ready(
     Shared(frontend): Shared<Arc<Frontend>>, Extension(connection): Extension<ConnectionHandle>,
 ) -> Response {
     frontend.connections().on_ready_asked(connection.id);
+    let_others_run().await;
     let status =
         if frontend.ready.load(Ordering::Relaxed) { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
     status.into_response()
@@ -323,6 +331,7 @@
 
 /// Rejects a request for `/ready` with another method than GET or HEAD: 405.
 async fn reject_ready_method() -> Response {
+    let_others_run().await;
     close_after(StatusCode::METHOD_NOT_ALLOWED.into_response())
 }
 
