--- a/crates/stagepond-sidecar/src/event_loop.rs
+++ b/crates/stagepond-sidecar/src/event_loop.rs
@@ -273,6 +273,7 @@
                 FinalAnswer::Throttled { .. } => "throttled",
                 FinalAnswer::Terminated => "terminated",
                 FinalAnswer::RequestIdInUse => "id_taken",
+                FinalAnswer::MayHaveRun => "may_have_run",
                 FinalAnswer::Unverified { .. } => "unverified",
             };
             tracing::debug!(event = "answer", ticket = number.0, answer, "inv");
--- a/crates/stagepond-sidecar/src/lib.rs
+++ b/crates/stagepond-sidecar/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod connection;
 pub mod discovery;
 pub mod event_loop;
+pub mod executed_ids;
 pub mod frontend;
 pub mod leadership;
 #[cfg(test)]
@@ -24,6 +25,8 @@
 pub mod reducer;
 #[cfg(test)]
 mod reducer_tests;
+#[cfg(test)]
+mod repeated_id_tests;
 pub mod request_head;
 pub mod responses;
 pub mod state_files;
--- a/crates/stagepond-sidecar/src/messages.rs
+++ b/crates/stagepond-sidecar/src/messages.rs
@@ -75,6 +75,8 @@
     Terminated,
     /// Another invocation with the same request id is still being handled.
     RequestIdInUse,
+    /// An earlier invocation with the same request id may have run, and a second run could do harm.
+    MayHaveRun,
     /// Pods responded to an invocation of a verified operation, but no response matched the signed metadata.
     Unverified {
         /// Name of the check that failed.
--- a/crates/stagepond-sidecar/src/reducer.rs
+++ b/crates/stagepond-sidecar/src/reducer.rs
@@ -18,6 +18,7 @@
 use stagepond::balance::Balancer;
 use stagepond::host::*;
 
+use crate::executed_ids::{must_not_run_twice, ExecutedIds};
 use crate::leadership::{is_leadership_datagram, LeadershipController, StepOutcome};
 use crate::lifecycle::{ConfigRetry, Lifecycle, State};
 use crate::messages::*;
@@ -34,6 +35,10 @@
     /// Open dispatches by their index within the invocation.
     open_dispatches: Vec<(usize, DispatchId)>,
     answered: bool,
+    /// Whether a second run could do harm.
+    must_not_run_twice: bool,
+    /// Whether a dispatch has ended in a way that doesn't prove that no pod ran it.
+    may_have_run: bool,
     /// Path of the signed target that the invocation asks for, if its operation is verified.
     target: Option<String>,
     /// Check that the last response to the invocation failed.
@@ -77,6 +82,10 @@
     invocations: HashMap<InvId, PendingInvocation>,
     /// Request ids of `invocations`; each can be used again once its last dispatch has ended.
     request_ids: HashSet<RequestId>,
+    /// Ids of earlier invocations that must not run again.
+    executed_ids: ExecutedIds,
+    /// For each operation, whether a second run of an invocation could do harm.
+    must_not_run_twice: Vec<bool>,
     /// Number of invocations without a final answer.
     unanswered: usize,
     dispatches: HashMap<DispatchId, OpenDispatch>,
@@ -249,8 +258,11 @@
         if self.invocations.get(inv).is_some_and(finished)
             && !self.unreported_endings.iter().any(|(ended, ..)| ended == inv)
         {
-            let request_id = self.invocations.remove(inv).map(|invocation| invocation.request_id);
-            request_id.map(|id| self.request_ids.remove(&id));
+            let Some(invocation) = self.invocations.remove(inv) else { return };
+            self.request_ids.remove(&invocation.request_id);
+            if invocation.must_not_run_twice && invocation.may_have_run {
+                self.executed_ids.insert(self.now, invocation.request_id);
+            }
         }
     }
 
@@ -285,6 +297,8 @@
             parallel_dispatches: facts.parallel_dispatches,
             invocations: HashMap::new(),
             request_ids: HashSet::new(),
+            executed_ids: ExecutedIds::default(),
+            must_not_run_twice: facts.operations.iter().map(must_not_run_twice).collect(),
             unanswered: 0,
             dispatches: HashMap::new(),
             last_dispatch: 0,
@@ -510,7 +524,11 @@
     fn report_outcome(
         &mut self, inv: &InvId, nth: usize, took: Tenths, ending: Ending, in_flight: Option<f64>,
     ) {
-        let answered = self.host.invocations.get(inv).is_none_or(|invocation| invocation.answered);
+        let invocation = self.host.invocations.get_mut(inv);
+        let answered = invocation.is_none_or(|invocation| {
+            invocation.may_have_run |= !ending.proves_not_executed();
+            invocation.answered
+        });
         self.balancer.on_outcome(&mut self.host, inv, answered, nth, took, ending, in_flight);
         self.host.remove_if_finished(inv);
     }
@@ -519,6 +537,11 @@
         &mut self, number: InvocationNumber, request_id: RequestId, request: Arc<ForwardedRequest>, op: Op,
         deadline: Tenths,
     ) {
+        let now = self.host.now;
+        let must_not_run_twice = self.host.must_not_run_twice.get(op.0).copied().unwrap_or(true);
+        if must_not_run_twice && self.host.executed_ids.contains(now, &request_id) {
+            return self.host.effects.push(Effect::Answer(number, FinalAnswer::MayHaveRun));
+        }
         if !self.host.request_ids.insert(request_id.clone()) {
             // A pod that got both invocations would mistake one for the other.
             return self.host.effects.push(Effect::Answer(number, FinalAnswer::RequestIdInUse));
@@ -540,6 +563,8 @@
             dispatch_count: 0,
             open_dispatches: Vec::new(),
             answered: false,
+            must_not_run_twice,
+            may_have_run: false,
             target,
             failed_check: None,
         };
--- a/crates/stagepond-sidecar/src/responses.rs
+++ b/crates/stagepond-sidecar/src/responses.rs
@@ -60,6 +60,9 @@
         }
         Ok(FinalAnswer::Throttled { retry_after }) => throttled_response(retry_after),
         Ok(FinalAnswer::RequestIdInUse) => StatusCode::CONFLICT.into_response(),
+        Ok(FinalAnswer::MayHaveRun) => {
+            (StatusCode::CONFLICT, "an earlier request with this id may have run\n").into_response()
+        }
         Ok(FinalAnswer::Unverified { failed_check, retry_after }) => {
             let text = format!("no pod returned content that matches the signed metadata: {failed_check}\n");
             let mut response = match retry_after {
--- a/crates/stagepond-sidecar/tests/program/main.rs
+++ b/crates/stagepond-sidecar/tests/program/main.rs
@@ -201,6 +201,29 @@
     invoke_successfully(&mut client, &mut pod).await;
 }
 
+/// Guards against an effect that happens twice: an order ran again when its id came a second time after its client
+/// had left in the middle of the run.
+#[rstest]
+#[tokio::test]
+async fn order_whose_client_has_left_does_not_run_again() {
+    let mut pod = start_pod().await;
+    let sidecar = Sidecar::start(&[pod.address]).await;
+    let order = http_message("POST", "/order", "X-Timeout-Ms: 5000\r\n", "one");
+    let mut first = sidecar.connect_client().await;
+    first.send(&order).await;
+    let request = pod.next_request().await;
+    let repeated = order.replace(REQUEST_ID, request.header("x-request-id").unwrap());
+    drop(first);
+    request.respond("200 OK", "", "for nobody");
+    // Until the sidecar has learnt of that, the id is refused as one in use.
+    for _ in 0..2 {
+        let mut again = sidecar.connect_client().await;
+        assert_eq!(again.exchange(&repeated).await.0, 409);
+        invoke_successfully(&mut again, &mut pod).await;
+    }
+    assert_eq!(count_requests(&mut pod), 0);
+}
+
 #[rstest]
 #[case::unknown_path("GET", "/nothing", "X-Timeout-Ms: 9\r\n", 404)]
 #[case::no_time_limit("GET", "/lookup", "", 400)]
