--- a/crates/stagepond-sidecar/src/event_loop.rs
+++ b/crates/stagepond-sidecar/src/event_loop.rs
@@ -236,8 +236,8 @@
     }
 }
 
-/// Logs an input that concerns an invocation, at debug level. Together with [`trace_effect`] it shows the
-/// path of an invocation through this sidecar by its id, its number (`ticket`) and its dispatches.
+/// Logs an input that concerns an invocation or the rollout, at debug level. Together with [`trace_effect`] it
+/// shows the path of an invocation through this sidecar by its id, its number (`ticket`) and its dispatches.
 fn trace_input(input: &Input) {
     match input {
         Input::InvocationReceived { number, request_id, op, deadline, .. } => {
@@ -250,6 +250,8 @@
                 "inv"
             );
         }
+        Input::RolloutStatusReceived(status) => trace_rollout_status("stream", status),
+        Input::VoteAnswered(Ok(status)) => trace_rollout_status("vote", status),
         Input::ClientDisconnected(number) => tracing::debug!(event = "left", ticket = number.0, "inv"),
         Input::DispatchEnded(id, DispatchOutcome { ending, ended_at, in_flight, .. }) => {
             tracing::debug!(event = "ended", dispatch = id.0, ?ending, at = ended_at.0, in_flight, "inv");
@@ -258,6 +260,13 @@
     }
 }
 
+/// Logs what the platform reported, and whether on its stream or in the answer to a vote.
+fn trace_rollout_status(source: &'static str, status: &RolloutStatus) {
+    let RolloutStatus { build, stage, phase, cap, age } = status;
+    let (build, age) = (build.0, age.0);
+    tracing::debug!(event = "rollout_status", source, build, stage, ?phase, cap, age, "rollout");
+}
+
 /// Logs an effect that concerns an invocation, at debug level.
 fn trace_effect(effect: &Effect) {
     match effect {
