--- a/crates/stagepond-sidecar/src/lib.rs
+++ b/crates/stagepond-sidecar/src/lib.rs
@@ -29,6 +29,7 @@
 mod repeated_id_tests;
 pub mod request_head;
 pub mod responses;
+pub mod rollout_order;
 pub mod state_files;
 pub mod stream;
 pub mod target_cache;
--- a/crates/stagepond-sidecar/src/reducer.rs
+++ b/crates/stagepond-sidecar/src/reducer.rs
@@ -22,6 +22,7 @@
 use crate::leadership::{is_leadership_datagram, LeadershipController, StepOutcome};
 use crate::lifecycle::{ConfigRetry, Lifecycle, State};
 use crate::messages::*;
+use crate::rollout_order::RolloutOrder;
 use crate::verification::{CheckResult, ResponseVerifier, METADATA_FETCH_TIMEOUT};
 
 /// An invocation that is unanswered or still has open dispatches.
@@ -127,6 +128,7 @@
     lifecycle: Lifecycle,
     config_retry: ConfigRetry,
     leadership: Option<LeadershipController>,
+    rollout_order: RolloutOrder,
     verification: Option<ResponseVerifier>,
     /// Responses whose check waits for metadata. Their dispatches still end at their own deadlines.
     unverified_outcomes: Vec<(DispatchId, DispatchOutcome)>,
@@ -319,6 +321,7 @@
             lifecycle: Lifecycle::new(now, longest_time_limit),
             config_retry: ConfigRetry::default(),
             leadership,
+            rollout_order: RolloutOrder::default(),
             verification,
             unverified_outcomes: Vec::new(),
             fetch_count: 0,
@@ -365,8 +368,14 @@
                 self.update_readiness(true);
             }
             Input::DiscoveryDisconnected => self.balancer.on_pod_list_failure(&mut self.host),
-            Input::RolloutStatusReceived(status) => self.on_rollout_status(Ok(status), false),
-            Input::VoteAnswered(answer) => self.on_rollout_status(answer, true),
+            Input::RolloutStatusReceived(status) => {
+                self.rollout_order.on_news(self.host.now, status);
+                self.on_rollout_status(Ok(status), false);
+            }
+            Input::VoteAnswered(answer) => {
+                let latest = answer.map(|status| self.rollout_order.latest(self.host.now, status));
+                self.on_rollout_status(latest, true);
+            }
             Input::AnswerDisputed { pod, op, age } => {
                 if let Some(&KnownPod { id, .. }) = self.host.pods.get(&pod) {
                     self.balancer.on_objection(&mut self.host, id, op, age);
--- a/crates/stagepond-sidecar/src/reducer_tests.rs
+++ b/crates/stagepond-sidecar/src/reducer_tests.rs
@@ -361,6 +361,26 @@
     assert_eq!(votes(&harness.advance(Tenths::ms(2900))), repeated);
 }
 
+/// Guards against review/10: a build with a cap of 0 got requests again after the late answer to a vote.
+#[rstest]
+fn late_answer_to_a_vote_does_not_take_back_the_news_since() {
+    let mut harness = ReducerHarness::with_pods(1);
+    let trial = RolloutStatus { build: Build(2), stage: 1, phase: Phase::Trial, cap: 1.0, age: Tenths(0) };
+    harness.apply(Input::PodListReceived(pod_list(false, (3..9).map(|n| pod_entry(n, 2)).collect())));
+    harness.apply(Input::RolloutStatusReceived(trial));
+    harness.advance(Tenths::ms(5000));
+    let goes_back = RolloutStatus { phase: Phase::GoingBack, cap: 0.0, ..trial };
+    harness.apply(Input::RolloutStatusReceived(goes_back));
+    harness.advance(Tenths::ms(700));
+    harness.apply(Input::VoteAnswered(Ok(trial)));
+    for _ in 0..50 {
+        let (_, effects) = harness.send_invocation(IDEMPOTENT);
+        let (id, pod) = dispatches(&effects)[0];
+        assert_eq!(pod, 1, "the pods of the build that goes back get nothing");
+        harness.end_dispatch(id, Ending::Succeeded);
+    }
+}
+
 #[rstest]
 fn dispute_about_an_unknown_pod_is_ignored() {
     let mut harness = ReducerHarness::with_pods(1);
