--- a/crates/stagepond-sidecar/src/platform.rs
+++ b/crates/stagepond-sidecar/src/platform.rs
@@ -191,7 +191,7 @@
         .header(CONTENT_TYPE, "application/x-www-form-urlencoded")
         .body(Full::<Bytes>::from(form))
         .expect("valid headers");
-    let connected = tokio::time::timeout(stream::OPEN_TIMEOUT, TcpStream::connect(address)).await;
+    let connected = tokio::time::timeout(stream::CONNECT_TIMEOUT, TcpStream::connect(address)).await;
     let Ok(Ok(connection)) = connected else { return Err(Ending::NoConnection) };
     let _ = connection.set_nodelay(true);
     let handshake = hyper::client::conn::http1::handshake(TokioIo::new(connection)).await;
--- a/crates/stagepond-sidecar/src/stream.rs
+++ b/crates/stagepond-sidecar/src/stream.rs
@@ -18,16 +18,19 @@
 use tokio_util::codec::{FramedRead, LinesCodec};
 use tokio_util::io::StreamReader;
 
-/// Time limit for a connection to be established, and for the head of a response to arrive. It is short since
-/// both ends are close to each other and a failure is followed by another attempt.
-pub const OPEN_TIMEOUT: Duration = Duration::from_millis(1000);
+/// Time limit for a connection to be established. It is short since both ends are close to each other and a
+/// failure is followed by another attempt.
+pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(1000);
+/// Time limit for the head of a response to arrive. Discovery works off its calls in turn and lets each wait for
+/// up to 2 s; a call that is given up earlier waits again from the start.
+pub const RESPONSE_TIMEOUT: Duration = Duration::from_millis(3000);
 /// Shortest time between two lines that one [`RateLimitedLog`] writes.
 const MIN_WARNING_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Creates an HTTP client without a connection pool, as each connection serves a single request.
 pub fn client() -> Client<HttpConnector, Full<Bytes>> {
     let mut connector = HttpConnector::new();
-    connector.set_connect_timeout(Some(OPEN_TIMEOUT));
+    connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
     connector.set_nodelay(true);
     Client::builder(TokioExecutor::new())
         .pool_max_idle_per_host(0)
@@ -42,10 +45,10 @@
 ///
 /// # Errors
 ///
-/// Fails if no response begins within [`OPEN_TIMEOUT`] or its status is not 200.
+/// Fails if no connection stands within [`CONNECT_TIMEOUT`], no response begins within [`RESPONSE_TIMEOUT`] or its status is not 200.
 pub async fn open(address: SocketAddr, target: &str, max_line_bytes: usize) -> Result<LineStream> {
     let request = Request::get(format!("http://{address}{target}")).body(Full::default())?;
-    let response = tokio::time::timeout(OPEN_TIMEOUT, client().request(request)).await;
+    let response = tokio::time::timeout(RESPONSE_TIMEOUT, client().request(request)).await;
     let response = response.context("no response in time")??;
     if response.status() != StatusCode::OK {
         bail!("unexpected response status {}", response.status());
