--- a/crates/stagepond-sidecar/src/client_connections.rs
+++ b/crates/stagepond-sidecar/src/client_connections.rs
@@ -20,7 +20,8 @@
 const NEW_CONNECTION_GRACE: Tenths = Tenths::ms(400);
 /// Share of the connection limit above which idle connections are closed before their places are needed.
 const HIGH_LOAD_SHARE: f64 = 0.75;
-/// Share of the connection limit above which every answer closes its connection. A client that has just been
+/// Share of the connection limit above which every answer closes its connection, counting those alone that have
+/// sent an invocation: places that others hold come free without that. A client that has just been
 /// answered may stay idle for 2 s, and places held for that long would admit fewer clients than arrive.
 const NEAR_LIMIT_SHARE: f64 = 0.9;
 
@@ -128,6 +129,8 @@
 /// All client connections.
 pub struct ClientConnections {
     connections: BTreeMap<ConnectionId, ClientConnection>,
+    /// Number of connections that have sent an invocation.
+    used_connections: usize,
     max_connections: usize,
     last_id: u64,
 }
@@ -135,7 +138,7 @@
 impl ClientConnections {
     /// An empty registry with room for this many connections.
     pub fn new(max_connections: usize) -> ClientConnections {
-        ClientConnections { connections: BTreeMap::new(), max_connections, last_id: 0 }
+        ClientConnections { connections: BTreeMap::new(), used_connections: 0, max_connections, last_id: 0 }
     }
 
     /// Adds a connection that has just been accepted.
@@ -157,7 +160,8 @@
 
     /// Removes a connection that has ended.
     pub fn remove(&mut self, id: ConnectionId) {
-        self.connections.remove(&id);
+        let removed = self.connections.remove(&id);
+        self.used_connections -= usize::from(removed.is_some_and(|connection| connection.invocations > 0));
     }
 
     /// Whether there is no connection.
@@ -189,6 +193,7 @@
         if let Some(connection) = self.connections.get_mut(&id) {
             connection.idle_since = None;
             connection.invocations += 1;
+            self.used_connections += usize::from(connection.invocations == 1);
         }
     }
 
@@ -227,7 +232,7 @@
     /// holds for clients that have sent a single invocation, since most of those never send another; above
     /// [`NEAR_LIMIT_SHARE`] for all.
     pub fn closes_after_answer(&self, id: ConnectionId) -> bool {
-        let count = self.connections.len();
+        let count = self.used_connections;
         count as f64 > self.max_connections as f64 * NEAR_LIMIT_SHARE
             || count > self.high_load_threshold()
                 && self.connections.get(&id).is_some_and(|c| c.invocations < 2)
--- a/crates/stagepond-sidecar/tests/client_connections.rs
+++ b/crates/stagepond-sidecar/tests/client_connections.rs
@@ -141,3 +141,27 @@
     let asked: Vec<Asked> = connections.iter().map(Connection::asked).collect();
     assert_eq!(asked, [Asked::No, Asked::IfIdle, Asked::No, Asked::No]);
 }
+
+/// Guards against usual clients that lose their connections because silent ones fill the places: each of them
+/// then waited with every request behind all who connect and say nothing (part of review/6).
+#[rstest]
+#[case::others_are_silent(1, false)]
+#[case::all_have_sent_an_invocation(LIMIT, true)]
+#[tokio::test]
+async fn an_answer_closes_its_connection_if_used_ones_fill_the_places(
+    #[case] used: usize, #[case] closes: bool,
+) {
+    let (mut registry, clock) = (ClientConnections::new(LIMIT), Clock::start());
+    let mut connections = Vec::new();
+    for _ in 0..LIMIT {
+        connections.push(Connection::open(&mut registry, clock, Tenths(0)).await);
+    }
+    for connection in &connections[..used] {
+        registry.on_invocation(connection.id);
+    }
+    assert_eq!(registry.closes_after_answer(connections[0].id), closes);
+    // A connection that has ended counts no longer.
+    registry.remove(connections[LIMIT - 1].id);
+    registry.remove(connections[LIMIT - 2].id);
+    assert!(!registry.closes_after_answer(connections[0].id));
+}
