--- a/crates/stagepond-sidecar/src/event_loop.rs
+++ b/crates/stagepond-sidecar/src/event_loop.rs
@@ -349,13 +349,14 @@
         VerificationEvent::MetadataUpdated { versions } => {
             tracing::info!(event = "trusted", ?versions, "new metadata trusted")
         }
-        VerificationEvent::MetadataRefused { kind, why, again_in, trusted, usable_targets } => {
+        VerificationEvent::MetadataRefused { kind, why, again_in, trusted, usable_targets, left_out } => {
             tracing::warn!(
                 event = "metadata_refused",
                 kind,
                 again_in_ms = again_in.0 / 10,
                 ?trusted,
                 usable_targets,
+                left_out,
                 "{why}"
             );
         }
--- a/crates/stagepond-sidecar/src/verification.rs
+++ b/crates/stagepond-sidecar/src/verification.rs
@@ -27,6 +27,8 @@
 const MAX_RETRY_DELAY: Tenths = Tenths::ms(60_000);
 /// Largest number of times that the retry delay is doubled.
 const MAX_RETRY_DOUBLINGS: u32 = 10;
+/// Refused searches are reported at most once per interval, so that a client can't flood the log.
+const SEARCH_REPORT_INTERVAL: Tenths = Tenths::ms(1000);
 /// Tenths of a millisecond in a second.
 const TENTHS_PER_SECOND: i64 = 10_000;
 /// Time limit of the fetch of one metadata file; a slower pod counts as unresponsive.
@@ -83,13 +85,15 @@
     MetadataUpdated { versions: Vec<(&'static str, u64, String)> },
     /// A metadata file or a target search was refused; the next refresh follows after `again_in`. `trusted`
     /// names the top-level roles that are still trusted, `usable_targets` counts the targets that responses
-    /// are still checked against without a search.
+    /// are still checked against without a search. Refused searches are reported at most once per
+    /// `SEARCH_REPORT_INTERVAL`; `left_out` counts those that were not reported since the last one that was.
     MetadataRefused {
         kind: &'static str,
         why: String,
         again_in: Tenths,
         trusted: Vec<&'static str>,
         usable_targets: usize,
+        left_out: u64,
     },
     /// A search found a target. `checked_for` are the parents by whose keys the metadata of `role` was checked;
     /// `parent` is the one through which the search came.
@@ -125,6 +129,10 @@
     queued_searches: VecDeque<String>,
     /// Target path of the search in progress.
     current_search: Option<String>,
+    /// Earliest time of the next report of a refused search.
+    next_search_report: Tenths,
+    /// Refused searches since the last report of one.
+    unreported_searches: u64,
     /// Events to be logged, drained by the caller.
     pub events: Vec<VerificationEvent>,
     /// What was trusted at the end of the last refresh, or at the start.
@@ -170,6 +178,8 @@
             cached_targets: TargetCache::default(),
             queued_searches: VecDeque::new(),
             current_search: None,
+            next_search_report: now,
+            unreported_searches: 0,
             events: Vec::new(),
             state_to_store: None,
         })
@@ -357,6 +367,17 @@
         self.events.push(VerificationEvent::TargetFound { path, role, parent: parent.0, checked_for });
     }
 
+    /// Reports a refused search, unless another one was reported a moment ago: clients choose the names that are
+    /// searched for.
+    fn report_refused_search(&mut self, now: Tenths, error: &MetadataError) {
+        if now < self.next_search_report {
+            self.unreported_searches += 1;
+            return;
+        }
+        self.next_search_report = now + SEARCH_REPORT_INTERVAL;
+        self.report_refusal(now, error, (self.next_refresh - now).max(Tenths(0)));
+    }
+
     fn report_refusal(&mut self, now: Tenths, error: &MetadataError, again_in: Tenths) {
         self.events.push(VerificationEvent::MetadataRefused {
             kind: error.kind(),
@@ -364,6 +385,7 @@
             again_in,
             trusted: self.client.trusted_roles().into_iter().map(|(role, ..)| role).collect(),
             usable_targets: self.cached_targets.usable_count(to_seconds(now)),
+            left_out: std::mem::take(&mut self.unreported_searches),
         });
     }
 
@@ -386,7 +408,7 @@
             }
             Ok(Progress::UpToDate) => Err("unasked"),
             Err(error) => {
-                self.report_refusal(now, &error, (self.next_refresh - now).max(Tenths(0)));
+                self.report_refused_search(now, &error);
                 Err(error.kind())
             }
         };
