--- a/crates/stagepond-sidecar/src/lib.rs
+++ b/crates/stagepond-sidecar/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod platform;
 pub mod pods;
 pub mod reducer;
+mod reducer_host;
 #[cfg(test)]
 mod reducer_tests;
 #[cfg(test)]
