--- a/crates/stagepond-lab/src/lib.rs
+++ b/crates/stagepond-lab/src/lib.rs
@@ -3,6 +3,7 @@
 //! machine.
 
 pub mod clock;
+pub mod crowd;
 pub mod faults;
 pub mod leadership;
 #[path = "../../../examples/mock_server.rs"]
--- a/crates/stagepond-lab/src/main.rs
+++ b/crates/stagepond-lab/src/main.rs
@@ -6,6 +6,8 @@
 use std::time::{Duration, Instant};
 
 use clap::{Parser, Subcommand};
+use stagepond_lab::crowd::memory::{self, CrowdOptions};
+use stagepond_lab::crowd::ClientForm;
 use stagepond_lab::leadership::measure::{self, Disruption};
 use stagepond_lab::leadership::simulation::Simulation;
 use stagepond_lab::leadership::{model, processes, proof};
@@ -86,6 +88,36 @@
         #[arg(long)]
         program: Option<PathBuf>,
     },
+    /// Measure the peak memory of a sidecar under a crowd of clients; fails if it is above the limit
+    MeasureMemory {
+        /// Forms of the clients, in turn [default: each form by itself]
+        #[arg(long, value_delimiter = ',')]
+        forms: Vec<ClientForm>,
+        /// Number of clients
+        #[arg(long, value_delimiter = ',', default_value = "300")]
+        clients: Vec<usize>,
+        /// Memory limit in the configuration, in MB
+        #[arg(long, value_delimiter = ',', default_value = "32")]
+        memory_mb: Vec<usize>,
+        /// Descriptor limit in the configuration
+        #[arg(long, value_delimiter = ',', default_value = "1024")]
+        sockets: Vec<usize>,
+        /// Pods answer with a few bytes instead of 60 KB
+        #[arg(long)]
+        small_answers: bool,
+        /// Share of answers that take 100 ms, in percent
+        #[arg(long, default_value_t = 0)]
+        slow_percent: u32,
+        /// Measurements of each kind
+        #[arg(long, default_value_t = 1)]
+        repeat: u32,
+        /// How long each crowd stays, in seconds
+        #[arg(long, default_value_t = 4.0)]
+        seconds: f64,
+        /// Program to test [default: stagepond in the folder of this program]
+        #[arg(long)]
+        program: Option<PathBuf>,
+    },
     /// Run the leadership simulation of one seed and print its events
     ReplayLeadership {
         /// Seed of the simulation
@@ -397,6 +429,60 @@
     }
 }
 
+/// Measures every combination of these groups of forms, numbers of clients and limits.
+fn measure_memory(
+    base: &CrowdOptions, groups: &[Vec<ClientForm>], clients: &[usize], memory_mb: &[usize],
+    sockets: &[usize], repeat: u32,
+) -> ExitCode {
+    let runtime = tokio::runtime::Runtime::new().expect("the runtime needs threads and descriptors");
+    let mut all_within = true;
+    for &memory_mb in memory_mb {
+        for &sockets in sockets {
+            for &clients in clients {
+                for forms in groups {
+                    for _ in 0..repeat {
+                        let options = CrowdOptions {
+                            forms: forms.clone(),
+                            clients,
+                            memory_mb,
+                            sockets,
+                            ..base.clone()
+                        };
+                        all_within &= measure_one(&runtime, &options);
+                    }
+                }
+            }
+        }
+    }
+    exit_code(all_within)
+}
+
+/// Measures and prints one crowd. Returns whether the sidecar kept within its limit.
+fn measure_one(runtime: &tokio::runtime::Runtime, options: &CrowdOptions) -> bool {
+    let CrowdOptions { forms, clients, memory_mb, sockets, .. } = options;
+    match runtime.block_on(memory::measure(options)) {
+        Ok(report) => {
+            let counts = report.counts;
+            let within = report.is_within(*memory_mb);
+            println!(
+                "memory: forms={forms:?} clients={clients} memory_mb={memory_mb} sockets={sockets} \
+                 peak_kib={} served={} refused={} unanswered={} cpu_ms={}{}",
+                report.peak_kib,
+                counts.served,
+                counts.refused,
+                counts.unanswered,
+                report.cpu.as_millis(),
+                if within { "" } else { " ABOVE THE LIMIT" }
+            );
+            within
+        }
+        Err(error) => {
+            println!("memory: forms={forms:?} clients={clients} memory_mb={memory_mb}: {error:#}");
+            false
+        }
+    }
+}
+
 fn main() -> ExitCode {
     match CommandLine::parse().command {
         Command::ProveLeadership { seed, runs, threads, program } => {
@@ -408,6 +494,33 @@
         Command::Soak { seed, runs, parallel, program } => {
             soak(SoakOptions { first_seed: seed, runs, parallel, program: program_path(program) })
         }
+        Command::MeasureMemory {
+            forms,
+            clients,
+            memory_mb,
+            sockets,
+            small_answers,
+            slow_percent,
+            repeat,
+            seconds,
+            program,
+        } => {
+            let base = CrowdOptions {
+                program: program_path(program),
+                forms: Vec::new(),
+                clients: 0,
+                memory_mb: 0,
+                sockets: 0,
+                large_answers: !small_answers,
+                slow_percent,
+                duration: Duration::from_secs_f64(seconds),
+            };
+            let groups = match forms.is_empty() {
+                true => ClientForm::ALL.into_iter().map(|form| vec![form]).collect(),
+                false => vec![forms],
+            };
+            measure_memory(&base, &groups, &clients, &memory_mb, &sockets, repeat)
+        }
         Command::ReplayLeadership { seed, planted, quiet } => replay_leadership(seed, planted, quiet),
     }
 }
--- a/crates/stagepond-lab/src/soak/environment.rs
+++ b/crates/stagepond-lab/src/soak/environment.rs
@@ -108,9 +108,13 @@
     } else {
         SERVICE_TIME
     };
+    let body = match mix.answer_bytes {
+        0 => "made by a pod\n".to_string(),
+        length => "a".repeat(length),
+    };
     tokio::spawn(async move {
         tokio::time::sleep(service_time).await;
-        request.respond("200 OK", "X-Server-Load: inflight=1\r\n", "made by a pod\n");
+        request.respond("200 OK", "X-Server-Load: inflight=1\r\n", &body);
     });
 }
 
--- a/crates/stagepond-lab/src/soak/mod.rs
+++ b/crates/stagepond-lab/src/soak/mod.rs
@@ -9,5 +9,7 @@
 mod script;
 
 pub use account::{Fault, FaultKind};
+pub(crate) use environment::Environment;
 pub use report::Report;
 pub use run::{run_many, SoakOptions};
+pub use script::PodMix;
--- a/crates/stagepond-lab/src/soak/script.rs
+++ b/crates/stagepond-lab/src/soak/script.rs
@@ -61,6 +61,8 @@
     pub hang_percent: u32,
     /// The connection is reset.
     pub reset_percent: u32,
+    /// Length of a pod's answer in bytes; 0 for the usual short text.
+    pub answer_bytes: usize,
 }
 
 impl PodMix {
@@ -136,6 +138,7 @@
         very_slow_percent: rng.u32(0..=5),
         hang_percent: rng.u32(0..=3),
         reset_percent: rng.u32(0..=3),
+        answer_bytes: 0,
     }
 }
 
--- a/crates/stagepond-sidecar/tests/program/main.rs
+++ b/crates/stagepond-sidecar/tests/program/main.rs
@@ -3,6 +3,7 @@
 
 mod connection_limit;
 mod harness;
+mod leaving;
 mod memory;
 #[path = "../../../../examples/mock_server.rs"]
 mod mock_server;
--- a/crates/stagepond-sidecar/tests/program/memory.rs
+++ b/crates/stagepond-sidecar/tests/program/memory.rs
@@ -1,13 +1,15 @@
 //! Tests that the program keeps within its memory limit whatever its clients and pods send.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use rstest::rstest;
 use serde_json::json;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 
 use crate::harness::*;
+use crate::mock_server::ServerEvent;
 
 const MEMORY_LIMIT_MB: usize = 32;
 /// Few enough that the sidecar does not end connections early to make room: it admits 129 with these limits.
@@ -17,6 +19,10 @@
 const PIECES: usize = 110;
 const CLIENTS_WITH_LONG_ANSWERS: usize = 12;
 const ANSWER_CHUNKS: usize = 33_000;
+const CROWD_CLIENTS: usize = 300;
+const CROWD_REQUESTS: usize = 5;
+const CROWD_HEADERS: &str = "X-Timeout-Ms: 2500\r\nIdempotency-Key: 1\r\n";
+const SERVICE_TIME: Duration = Duration::from_millis(20);
 
 async fn start_sidecar(pod: SocketAddr) -> Sidecar {
     Sidecar::start_with(&[pod], |config| {
@@ -113,3 +119,55 @@
     assert!(served > 0, "no answer came through");
     assert_within_limit(&sidecar);
 }
+
+/// A pod that answers each whole request with a body of this length, after a while in which others come.
+async fn start_pod_with_long_answers(body_bytes: usize) -> SocketAddr {
+    let mut pod = start_pod().await;
+    let address = pod.address;
+    tokio::spawn(async move {
+        let body = "a".repeat(body_bytes);
+        while let Some(event) = pod.wait_for_event().await {
+            let ServerEvent::Request(request) = event else { continue };
+            let body = body.clone();
+            tokio::spawn(async move {
+                tokio::time::sleep(SERVICE_TIME).await;
+                request.respond("200 OK", "", &body);
+            });
+        }
+    });
+    address
+}
+
+/// Guards against a limit that counts what clients send and not the answers, nor the connections to pods.
+#[rstest]
+#[case::long_requests_and_answers(BODY_BYTES, 60_000)]
+#[case::long_answers(0, 60_000)]
+#[case::long_requests(BODY_BYTES, 0)]
+#[tokio::test]
+async fn a_crowd_of_usual_clients_keeps_within_the_memory_limit(
+    #[case] request_bytes: usize, #[case] answer_bytes: usize,
+) {
+    let pod = start_pod_with_long_answers(answer_bytes).await;
+    let sidecar = Sidecar::start_with(&[pod], |config| {
+        config["limits"] = json!({"cores": 1.0, "memory_mb": MEMORY_LIMIT_MB, "sockets": 1024});
+    })
+    .await;
+    let (address, body) = (sidecar.address, "x".repeat(request_bytes));
+    let mut clients = tokio::task::JoinSet::new();
+    for client in 0..CROWD_CLIENTS {
+        let body = body.clone();
+        clients.spawn(async move {
+            let mut served = 0;
+            for nth in 0..CROWD_REQUESTS {
+                let id = format!("{client}-{nth}");
+                let message = http_message("POST", "/note", CROWD_HEADERS, &body).replace(REQUEST_ID, &id);
+                let mut client = Client(TcpStream::connect(address).await.unwrap());
+                served += usize::from(client.exchange(&message).await.0 == 200);
+            }
+            served
+        });
+    }
+    let served: usize = clients.join_all().await.into_iter().sum();
+    assert!(served > 0, "no request was served");
+    assert_within_limit(&sidecar);
+}
