--- a/crates/stagepond-sidecar/src/client_connections.rs
+++ b/crates/stagepond-sidecar/src/client_connections.rs
@@ -212,6 +212,11 @@
         }
     }
 
+    /// Whether an invocation of the connection waits for its answer.
+    pub fn has_open_invocation(&self, id: ConnectionId) -> bool {
+        self.connections.get(&id).is_some_and(|connection| connection.idle_since.is_none())
+    }
+
     /// Whether no request is in progress on the connection and none has arrived unread. It looks at the
     /// socket, so that a close right after it can cross only what arrives in between.
     pub fn is_idle(&self, id: ConnectionId) -> bool {
--- a/crates/stagepond-sidecar/src/connection.rs
+++ b/crates/stagepond-sidecar/src/connection.rs
@@ -17,6 +17,7 @@
 use nix::errno::Errno;
 use nix::sys::socket::{recv, recvmsg, setsockopt, sockopt, ControlMessageOwned, MsgFlags};
 use nix::sys::time::TimeSpec;
+use rustix::event::{poll, PollFd, PollFlags, Timespec};
 use stagepond::host::Tenths;
 use tokio::io::Interest;
 use tokio::net::TcpStream;
@@ -34,6 +35,9 @@
 /// Longest head of a message, and the size limit of a connection's read buffer. Usual heads are far shorter.
 pub const MAX_HEAD_BYTES: usize = 16 << 10;
 const MAX_HEADER_FIELDS: usize = 100;
+/// With so many bytes unread in the socket, the end of the connection may not have reached this machine: the
+/// receive window may be full before it.
+const MAX_UNREAD_BYTES: usize = 32 << 10;
 
 /// How much of the current outgoing message the operating system has taken.
 #[derive(Clone, Copy, Debug, Default)]
@@ -44,6 +48,10 @@
 }
 
 impl WriteProgress {
+    fn of_message(body_bytes: usize) -> WriteProgress {
+        WriteProgress { terminator_matched: 0, body_bytes_left: body_bytes }
+    }
+
     fn on_written(&mut self, bytes: &[u8]) {
         let mut at = 0;
         while at < bytes.len() && self.terminator_matched < HEAD_TERMINATOR.len() {
@@ -169,6 +177,39 @@
     text.and_then(|text| text.trim().parse().ok()).map_or(ReadState::UnknownLength, ReadState::Body)
 }
 
+/// What is known of the other end of a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PeerState {
+    /// It has not ended the connection.
+    Present,
+    /// It has closed or reset the connection, wherever the end lies behind unread bytes.
+    Gone,
+    /// It has sent so much ahead that its end could not be seen.
+    Hidden,
+}
+
+/// Looks at a socket for the end of the connection, without reading from it.
+fn peer_state(stream: &TcpStream) -> PeerState {
+    let ended = PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR;
+    let mut polled = [PollFd::new(stream, PollFlags::IN | PollFlags::RDHUP)];
+    let events = match poll(&mut polled, Some(&Timespec::default())) {
+        Ok(_) => polled[0].revents(),
+        // Without an answer of the system the bytes themselves are looked at.
+        Err(_) => PollFlags::IN,
+    };
+    if events.intersects(ended) {
+        return PeerState::Gone;
+    }
+    if !events.contains(PollFlags::IN) {
+        return PeerState::Present;
+    }
+    match recv(stream.as_raw_fd(), &mut [0; MAX_UNREAD_BYTES], MsgFlags::MSG_PEEK) {
+        Ok(MAX_UNREAD_BYTES) => PeerState::Hidden,
+        Ok(1..) | Err(Errno::EAGAIN | Errno::EINTR) => PeerState::Present,
+        Ok(0) | Err(_) => PeerState::Gone,
+    }
+}
+
 #[derive(Default)]
 struct TraceState {
     /// The socket, while the connection is open.
@@ -210,7 +251,7 @@
 
     /// Starts to follow the writing of a message whose body has this many bytes.
     pub fn begin_message(&self, body_bytes: usize) {
-        self.state().progress = WriteProgress { terminator_matched: 0, body_bytes_left: body_bytes };
+        self.state().progress = WriteProgress::of_message(body_bytes);
     }
 
     /// Whether the operating system has taken the last byte of the current message. Before that the other end
@@ -242,6 +283,22 @@
             && self.state().has_nothing_to_read()
     }
 
+    /// Looks whether the other end has ended the connection.
+    pub fn peer_state(&self) -> PeerState {
+        self.state().stream.as_ref().map_or(PeerState::Gone, |stream| peer_state(stream))
+    }
+
+    /// Waits until the other end has ended the connection, also while bytes before the end are unread. Never
+    /// returns if no connection is open now.
+    pub async fn wait_for_peer_end(&self) {
+        let stream = self.state().stream.clone();
+        match stream {
+            // The runtime reports the end of the incoming bytes with this interest, and unread bytes not at all.
+            Some(stream) => drop(stream.ready(Interest::PRIORITY).await),
+            None => std::future::pending().await,
+        }
+    }
+
     /// Writes bytes past the HTTP library, as far as the operating system takes them at once.
     ///
     /// # Errors
@@ -435,7 +492,7 @@
     #[case::with_a_body("POST / HTTP/1.1\r\ncontent-length: 6\r\n\r\n\r\n\r\nab", 6)]
     fn a_message_is_complete_only_with_its_last_byte(#[case] message: &str, #[case] body: usize) {
         for cut in 0..=message.len() {
-            let mut progress = WriteProgress { terminator_matched: 0, body_bytes_left: body };
+            let mut progress = WriteProgress::of_message(body);
             progress.on_written(&message.as_bytes()[..cut]);
             assert_eq!(progress.is_complete(), cut == message.len(), "split at {cut}");
             progress.on_written(&message.as_bytes()[cut..]);
@@ -443,7 +500,7 @@
             // One write may take a part of several slices.
             for len in 0..=message.len() {
                 let (first, second) = message.as_bytes().split_at(cut);
-                let mut progress = WriteProgress { terminator_matched: 0, body_bytes_left: body };
+                let mut progress = WriteProgress::of_message(body);
                 progress.on_written_vectored(&[IoSlice::new(first), IoSlice::new(second)], len);
                 assert_eq!(progress.is_complete(), len == message.len(), "split at {cut}, {len} written");
             }
--- a/crates/stagepond-sidecar/src/event_loop.rs
+++ b/crates/stagepond-sidecar/src/event_loop.rs
@@ -157,7 +157,13 @@
                 trace_effect(&effect);
             }
             match effect {
-                Effect::Dispatch { id, request, to, timeout } => pods.dispatch(id, request, to, timeout),
+                Effect::Dispatch { id, number, request, to, timeout } => {
+                    if frontend.is_client_present(number) {
+                        pods.dispatch(id, request, to, timeout);
+                    } else {
+                        pods.report_unsent(id);
+                    }
+                }
                 Effect::AbortDispatch(id) => pods.abort(id),
                 Effect::Answer(number, answer) => frontend.send_answer(number, answer),
                 Effect::CloseIdleConnections(to) => pods.close_idle(to),
@@ -253,6 +259,7 @@
         Input::RolloutStatusReceived(status) => trace_rollout_status("stream", status),
         Input::VoteAnswered(Ok(status)) => trace_rollout_status("vote", status),
         Input::ClientDisconnected(number) => tracing::debug!(event = "left", ticket = number.0, "inv"),
+        Input::ClientHidden(number) => tracing::debug!(event = "hidden", ticket = number.0, "inv"),
         Input::DispatchEnded(id, DispatchOutcome { ending, ended_at, in_flight, .. }) => {
             tracing::debug!(event = "ended", dispatch = id.0, ?ending, at = ended_at.0, in_flight, "inv");
         }
@@ -270,10 +277,11 @@
 /// Logs an effect that concerns an invocation, at debug level.
 fn trace_effect(effect: &Effect) {
     match effect {
-        Effect::Dispatch { id, request, to, timeout } => {
+        Effect::Dispatch { id, number, request, to, timeout } => {
             let request_id = request.headers.get(REQUEST_ID_HEADER);
             let request_id = request_id.and_then(|id| id.to_str().ok()).unwrap_or_default();
-            tracing::debug!(event = "dispatch", id = request_id, dispatch = id.0, %to, wait = timeout.0, "inv");
+            let (ticket, wait) = (number.0, timeout.0);
+            tracing::debug!(event = "dispatch", id = request_id, ticket, dispatch = id.0, %to, wait, "inv");
         }
         Effect::AbortDispatch(id) => tracing::debug!(event = "given_up", dispatch = id.0, "inv"),
         Effect::Answer(number, answer) => {
--- a/crates/stagepond-sidecar/src/frontend.rs
+++ b/crates/stagepond-sidecar/src/frontend.rs
@@ -28,10 +28,10 @@
 
 use crate::body::{read_body, BodyError};
 use crate::client_connections::{ClientConnections, CloseSignals, ConnectionCounts, ConnectionId};
-use crate::connection::{ConnectionTrace, TracedConnection, MAX_HEAD_BYTES};
+use crate::connection::{ConnectionTrace, PeerState, TracedConnection, MAX_HEAD_BYTES};
 use crate::messages::*;
 use crate::request_head::{bad_request, check_head, Operations};
-use crate::responses::{answer_response, close_after, remove_hop_by_hop_headers};
+use crate::responses::{answer_response, close_after, remove_hop_by_hop_headers, throttled_response};
 use crate::stream::RateLimitedLog;
 
 /// Length of the queue of connections that wait to be accepted; the operating system may cap it lower.
@@ -57,7 +57,7 @@
     leaving: AtomicBool,
     listener_closed: AtomicBool,
     next_number: AtomicU64,
-    pending_answers: Mutex<HashMap<InvocationNumber, oneshot::Sender<FinalAnswer>>>,
+    pending_answers: Mutex<HashMap<InvocationNumber, PendingAnswer>>,
     connections: Mutex<ClientConnections>,
     /// Notified when a connection has closed or become idle.
     connections_changed: Notify,
@@ -65,6 +65,13 @@
     warnings: RateLimitedLog,
 }
 
+/// An invocation that waits for its answer.
+struct PendingAnswer {
+    sender: oneshot::Sender<FinalAnswer>,
+    /// The connection of its client.
+    trace: ConnectionTrace,
+}
+
 /// What the request handlers know of the connection that a request came on.
 #[derive(Clone)]
 struct ConnectionHandle {
@@ -97,7 +104,7 @@
         self.connections.lock().expect("no holder of the lock panics")
     }
 
-    fn pending_answers(&self) -> MutexGuard<'_, HashMap<InvocationNumber, oneshot::Sender<FinalAnswer>>> {
+    fn pending_answers(&self) -> MutexGuard<'_, HashMap<InvocationNumber, PendingAnswer>> {
         self.pending_answers.lock().expect("no holder of the lock panics")
     }
 
@@ -106,8 +113,28 @@
         let pending = self.pending_answers().remove(&number);
         // No sender is left if the client has gone; `DisconnectGuard` reports that to the reducer.
         if let Some(pending) = pending {
-            let _ = pending.send(answer);
+            let _ = pending.sender.send(answer);
+        }
+    }
+
+    /// Whether the client of an invocation still waits for its answer, so that a dispatch may begin. If not, the
+    /// reducer is told why.
+    pub fn is_client_present(&self, number: InvocationNumber) -> bool {
+        if number.is_internal() {
+            return true;
+        }
+        // Without an entry the end of the connection was reported before.
+        let state = self.pending_answers().get(&number).map(|pending| pending.trace.peer_state());
+        match state {
+            Some(PeerState::Present) => return true,
+            Some(PeerState::Hidden) => drop(self.inputs.send(Input::ClientHidden(number))),
+            Some(PeerState::Gone) => {
+                self.pending_answers().remove(&number);
+                let _ = self.inputs.send(Input::ClientDisconnected(number));
+            }
+            None => {}
         }
+        false
     }
 
     /// Sets whether `/ready` answers 200 or 503.
@@ -265,7 +292,9 @@
                 let mut builder = http1::Builder::new();
                 builder.max_buf_size(MAX_HEAD_BYTES);
                 let serving = builder.serve_connection(stream, TowerToHyperService::new(router));
-                tokio::pin!(serving);
+                let peer_end = trace.wait_for_peer_end();
+                tokio::pin!(serving, peer_end);
+                let mut peer_has_ended = false;
                 loop {
                     tokio::select! {
                         // Bytes that have arrived are read before the connection is ended for not sending
@@ -273,6 +302,13 @@
                         biased;
                         // The result is ignored: handlers report what the end means for an open invocation.
                         _ = &mut serving => break,
+                        () = &mut peer_end, if !peer_has_ended => {
+                            // Requests that are read from now on are refused by the handler.
+                            peer_has_ended = true;
+                            if self.connections().has_open_invocation(id) {
+                                break;
+                            }
+                        }
                         () = signals.immediate.notified() => break,
                         () = signals.refuse.notified() => if self.refuse(id, &trace) { break },
                         // The connection is dropped right after the look at its socket.
@@ -393,9 +429,17 @@
     remove_hop_by_hop_headers(&mut headers);
     let target = uri.path_and_query().cloned().unwrap_or_else(|| PathAndQuery::from_static("/"));
     let request = Arc::new(ForwardedRequest { method, target, headers, body });
+    match connection.trace.peer_state() {
+        PeerState::Present => {}
+        PeerState::Hidden => {
+            let_others_run().await;
+            return throttled_response(Tenths(0));
+        }
+        PeerState::Gone => return close_after(throttled_response(Tenths(0))),
+    }
     let number = InvocationNumber(frontend.next_number.fetch_add(1, Ordering::Relaxed));
-    let (answer_sender, answer) = oneshot::channel();
-    frontend.pending_answers().insert(number, answer_sender);
+    let (sender, answer) = oneshot::channel();
+    frontend.pending_answers().insert(number, PendingAnswer { sender, trace: connection.trace.clone() });
     frontend.connections().on_invocation(connection.id);
     let guard = DisconnectGuard { frontend: frontend.clone(), number };
     let deadline = connection.trace.last_received_at() + limit;
--- a/crates/stagepond-sidecar/src/messages.rs
+++ b/crates/stagepond-sidecar/src/messages.rs
@@ -27,6 +27,16 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct InvocationNumber(pub u64);
 
+impl InvocationNumber {
+    /// Numbers from here on belong to the reducer's own invocations; clients' numbers never get this high.
+    pub const FIRST_INTERNAL: InvocationNumber = InvocationNumber(1 << 62);
+
+    /// Whether no client waits for this invocation.
+    pub fn is_internal(self) -> bool {
+        self >= InvocationNumber::FIRST_INTERNAL
+    }
+}
+
 /// Id that the client gave its invocation (`X-Request-ID`).
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct RequestId(pub SmolStr);
@@ -199,6 +209,8 @@
     },
     /// The client disconnected before its answer.
     ClientDisconnected(InvocationNumber),
+    /// The client has sent so much ahead that it can't be seen whether it has left.
+    ClientHidden(InvocationNumber),
     /// A dispatch ended or could not be sent. Has no effect if the reducer has aborted it in the meantime.
     DispatchEnded(DispatchId, DispatchOutcome),
     /// Discovery sent the pod list or a change to it.
@@ -248,6 +260,8 @@
     Dispatch {
         /// Number of the dispatch, for its outcome.
         id: DispatchId,
+        /// The invocation. Nothing is sent if its client has left.
+        number: InvocationNumber,
         /// The request, without its time limit.
         request: Arc<ForwardedRequest>,
         /// Address of the pod.
--- a/crates/stagepond-sidecar/src/pods.rs
+++ b/crates/stagepond-sidecar/src/pods.rs
@@ -160,18 +160,8 @@
     pub fn dispatch(
         &mut self, id: DispatchId, request: Arc<ForwardedRequest>, to: SocketAddr, timeout: Tenths,
     ) {
-        let Some(connection) = self.take_connection(to) else {
-            // No descriptor is left: nothing was sent, and the pod is not at fault.
-            let outcome = DispatchOutcome {
-                ending: Ending::Moot,
-                ended_at: self.clock.now(),
-                in_flight: None,
-                response: ForwardedResponse::default(),
-                not_found: false,
-            };
-            let _ = self.inputs.send(Input::DispatchEnded(id, outcome));
-            return;
-        };
+        // Without a descriptor nothing is sent, and the pod is not at fault.
+        let Some(connection) = self.take_connection(to) else { return self.report_unsent(id) };
         let trace = connection.trace.clone();
         let (clock, inputs, idle) = (self.clock, self.inputs.clone(), self.idle.clone());
         let (warnings, reuse_stats) = (self.warnings.clone(), self.reuse_stats.clone());
@@ -199,6 +189,18 @@
         self.dispatches.insert(id, OpenDispatch { to, trace, task: task.abort_handle() });
     }
 
+    /// Reports that nothing of a dispatch was sent.
+    pub fn report_unsent(&self, id: DispatchId) {
+        let outcome = DispatchOutcome {
+            ending: Ending::Moot,
+            ended_at: self.clock.now(),
+            in_flight: None,
+            response: ForwardedResponse::default(),
+            not_found: false,
+        };
+        let _ = self.inputs.send(Input::DispatchEnded(id, outcome));
+    }
+
     /// Returns a connection for a dispatch to `to`, or `None` if no descriptor is left.
     ///
     /// Prefers the most recently used idle connection, so that those that are not needed reach their idle
--- a/crates/stagepond-sidecar/src/reducer.rs
+++ b/crates/stagepond-sidecar/src/reducer.rs
@@ -26,8 +26,6 @@
 use crate::rollout_order::RolloutOrder;
 use crate::verification::{CheckResult, ResponseVerifier, METADATA_FETCH_TIMEOUT};
 
-/// Numbers from here on belong to the reducer's own invocations; clients' numbers never get this high.
-const FIRST_INTERNAL_INVOCATION: InvocationNumber = InvocationNumber(1 << 62);
 /// Limit on the metadata files requested while one input is applied. There is more than one only if a fetch
 /// is answered at once, without waiting for a dispatch.
 const MAX_FETCHES_PER_INPUT: usize = 4;
@@ -62,7 +60,7 @@
 }
 
 fn answers_internal_invocation(effect: &Effect) -> bool {
-    matches!(effect, Effect::Answer(number, _) if *number >= FIRST_INTERNAL_INVOCATION)
+    matches!(effect, Effect::Answer(number, _) if number.is_internal())
 }
 
 impl Reducer {
@@ -122,6 +120,7 @@
                 self.on_invocation(number, request_id, request, op, deadline);
             }
             Input::ClientDisconnected(number) => self.on_client_disconnected(&inv_id(number)),
+            Input::ClientHidden(number) => self.answer_and_give_up(&inv_id(number)),
             Input::DispatchEnded(id, outcome) => self.on_dispatch_ended(id, outcome),
             Input::PodListReceived(list) => {
                 self.on_pod_list(list);
@@ -187,7 +186,7 @@
             let mut next = None;
             let mut effects = std::mem::take(&mut self.host.effects);
             effects.retain(|effect| match effect {
-                Effect::Answer(number, answer) if *number >= FIRST_INTERNAL_INVOCATION => {
+                Effect::Answer(number, answer) if number.is_internal() => {
                     let file = match answer {
                         FinalAnswer::Succeeded(response) if !response.body.is_empty() => {
                             Some(&response.body[..])
@@ -234,7 +233,7 @@
         }
         let request =
             ForwardedRequest { method: hyper::Method::GET, target, headers, body: Default::default() };
-        let number = InvocationNumber(FIRST_INTERNAL_INVOCATION.0 + self.fetch_count);
+        let number = InvocationNumber(InvocationNumber::FIRST_INTERNAL.0 + self.fetch_count);
         let deadline = self.host.now + METADATA_FETCH_TIMEOUT;
         self.on_invocation(number, RequestId(request_id.into()), Arc::new(request), op, deadline);
     }
@@ -319,8 +318,7 @@
         // Of an invocation that comes during the shutdown, nothing may be left when the process is killed.
         let deadline = deadline.min(self.lifecycle.answers_due_at());
         let mut target = None;
-        if let Some(verification) = self.verification.as_mut().filter(|_| number < FIRST_INTERNAL_INVOCATION)
-        {
+        if let Some(verification) = self.verification.as_mut().filter(|_| !number.is_internal()) {
             target = verification.target_path(op, request.target.path()).map(str::to_string);
             target.iter().for_each(|path| verification.request_target(self.host.now, path));
         }
@@ -343,10 +341,9 @@
     }
 
     fn on_client_disconnected(&mut self, inv: &InvId) {
-        let pending = self.host.invocations.get_mut(inv).filter(|invocation| !invocation.answered);
-        let Some(invocation) = pending else { return };
-        invocation.answered = true;
-        self.host.unanswered -= 1;
+        if self.host.mark_answered(inv).is_none() {
+            return;
+        }
         self.balancer.on_abort(&mut self.host, inv);
         self.host.remove_if_finished(inv);
     }
@@ -358,7 +355,7 @@
         let inv = self.host.dispatches.get(&id).map(|dispatch| &dispatch.inv);
         let invocation = inv.and_then(|inv| self.host.invocations.get_mut(inv));
         let Some(invocation) = invocation else { return Some(outcome) };
-        if invocation.number >= FIRST_INTERNAL_INVOCATION {
+        if invocation.number.is_internal() {
             // "No such metadata file" is a valid answer and no fault of the pod.
             if outcome.not_found {
                 outcome.ending = Ending::Succeeded;
@@ -390,12 +387,8 @@
         let DispatchOutcome { ending, ended_at, in_flight, response, .. } = outcome;
         if ending == Ending::Succeeded {
             // The answer goes out before any effect of the module's reaction to the outcome.
-            let pending = self.host.invocations.get_mut(&inv).filter(|invocation| !invocation.answered);
-            if let Some(invocation) = pending {
-                invocation.answered = true;
-                self.host.unanswered -= 1;
-                let answer = FinalAnswer::Succeeded(response);
-                self.host.effects.push(Effect::Answer(invocation.number, answer));
+            if let Some(number) = self.host.mark_answered(&inv) {
+                self.host.effects.push(Effect::Answer(number, FinalAnswer::Succeeded(response)));
             }
         }
         let took = Tenths((ended_at - started_at).0.max(0));
@@ -466,22 +459,29 @@
     }
 
     /// Answers every invocation that is still unanswered, in the order of their numbers, because the kill is
-    /// near. Only those of which nothing was dispatched are told that a retry is harmless.
+    /// near.
     fn answer_all(&mut self) {
         let invocations = self.host.invocations.iter().filter(|(_, invocation)| !invocation.answered);
         let mut unanswered: Vec<_> = invocations.map(|(inv, i)| (i.number, inv.clone())).collect();
         unanswered.sort_by_key(|(number, _)| *number);
-        for (number, inv) in unanswered {
-            let Some(invocation) = self.host.invocations.get_mut(&inv) else { continue };
-            let answer = match invocation.dispatch_count {
-                0 => FinalAnswer::Throttled { retry_after: Tenths(0) },
-                _ => FinalAnswer::Terminated,
-            };
-            self.host.effects.push(Effect::Answer(number, answer));
-            self.on_client_disconnected(&inv);
+        for (_, inv) in unanswered {
+            self.answer_and_give_up(&inv);
         }
     }
 
+    /// Answers an invocation that is to be dispatched no more. Only if nothing was dispatched is its client told
+    /// that a retry is harmless.
+    fn answer_and_give_up(&mut self, inv: &InvId) {
+        let pending = self.host.invocations.get(inv).filter(|invocation| !invocation.answered);
+        let Some(invocation) = pending else { return };
+        let answer = match invocation.dispatch_count {
+            0 => FinalAnswer::Throttled { retry_after: Tenths(0) },
+            _ => FinalAnswer::Terminated,
+        };
+        self.host.effects.push(Effect::Answer(invocation.number, answer));
+        self.on_client_disconnected(inv);
+    }
+
     fn on_pod_list(&mut self, list: PodList) {
         let now = self.host.now;
         self.balancer.begin_pod_list(list.is_snapshot);
--- a/crates/stagepond-sidecar/src/reducer_host.rs
+++ b/crates/stagepond-sidecar/src/reducer_host.rs
@@ -112,8 +112,8 @@
         invocation.open_dispatches.push((nth, id));
         self.dispatch_deadlines.insert((deadline, id));
         self.dispatches.insert(id, OpenDispatch { inv: inv.clone(), nth, started_at: self.now, deadline });
-        let request = invocation.request.clone();
-        self.effects.push(Effect::Dispatch { id, request, to, timeout: deadline - self.now });
+        let (number, request) = (invocation.number, invocation.request.clone());
+        self.effects.push(Effect::Dispatch { id, number, request, to, timeout: deadline - self.now });
     }
 
     fn throttle(&mut self, inv: &InvId, retry_after: Tenths) {
@@ -205,13 +205,20 @@
         self.effects.push(Effect::CastVote { build, stage, verdict, lease: None });
     }
 
+    /// Records that an invocation is answered, or that nobody waits for its answer any more. Returns its number;
+    /// `None` if it was answered before.
+    pub(crate) fn mark_answered(&mut self, inv: &InvId) -> Option<InvocationNumber> {
+        let invocation = self.invocations.get_mut(inv).filter(|invocation| !invocation.answered)?;
+        invocation.answered = true;
+        self.unanswered -= 1;
+        Some(invocation.number)
+    }
+
     /// Gives an invocation its final answer, unless it has one.
     pub(crate) fn answer(&mut self, inv: &InvId, answer: FinalAnswer) {
-        let pending = self.invocations.get_mut(inv).filter(|invocation| !invocation.answered);
-        if let Some(invocation) = pending {
-            invocation.answered = true;
-            self.unanswered -= 1;
-            let answer = match (answer, invocation.failed_check) {
+        let failed_check = self.invocations.get(inv).and_then(|invocation| invocation.failed_check);
+        if let Some(number) = self.mark_answered(inv) {
+            let answer = match (answer, failed_check) {
                 (FinalAnswer::Terminated, Some(failed_check)) => {
                     FinalAnswer::Unverified { failed_check, retry_after: None }
                 }
@@ -220,7 +227,7 @@
                 }
                 (answer, _) => answer,
             };
-            self.effects.push(Effect::Answer(invocation.number, answer));
+            self.effects.push(Effect::Answer(number, answer));
         }
         self.remove_if_finished(inv);
     }
--- a/crates/stagepond-sidecar/src/responses.rs
+++ b/crates/stagepond-sidecar/src/responses.rs
@@ -37,8 +37,8 @@
     response
 }
 
-/// A 503 response, with `Retry-After` in decimal seconds if `retry_after` is above zero.
-fn throttled_response(retry_after: Tenths) -> Response {
+/// A 503 response, which says that a retry is harmless, with `Retry-After` in decimal seconds if `retry_after` is above zero.
+pub fn throttled_response(retry_after: Tenths) -> Response {
     let mut response = StatusCode::SERVICE_UNAVAILABLE.into_response();
     if retry_after.0 > 0 {
         let seconds = format!("{}.{:04}", retry_after.0 / 10_000, retry_after.0 % 10_000);
--- a/crates/stagepond-sidecar/tests/program/leaving.rs
+++ b/crates/stagepond-sidecar/tests/program/leaving.rs
@@ -88,6 +88,29 @@
     assert_nothing_else_is_sent(&sidecar, &mut pod).await;
 }
 
+/// Guards against an end that is not seen because many small segments before it fill the receive buffer.
+#[rstest]
+#[tokio::test]
+async fn request_is_not_repeated_after_its_client_has_left_behind_many_small_segments(
+    #[values(Close::Orderly, Close::Reset)] close: Close,
+) {
+    let mut pod = start_pod().await;
+    let sidecar = Sidecar::start(&[pod.address]).await;
+    let mut client = sidecar.connect_client().await;
+    client.0.set_nodelay(true).unwrap();
+    client.send(&orders(1, 20)).await;
+    let first = pod.next_request().await;
+    for byte in orders(200, 20).as_bytes() {
+        if client.0.try_write(&[*byte]).is_err() {
+            break;
+        }
+    }
+    close.apply(client);
+    tokio::time::sleep(LEAVE_GRACE).await;
+    turn_away(&first);
+    assert_nothing_else_is_sent(&sidecar, &mut pod).await;
+}
+
 /// Guards against requests that are sent on because their client left while its connection waited for a place.
 #[rstest]
 #[tokio::test]
