--- a/crates/stagepond-sidecar/src/connection.rs
+++ b/crates/stagepond-sidecar/src/connection.rs
@@ -42,6 +42,8 @@
 /// How much of the current outgoing message the operating system has taken.
 #[derive(Clone, Copy, Debug, Default)]
 struct WriteProgress {
+    /// Whether a byte was written.
+    is_begun: bool,
     /// Number of bytes of [`HEAD_TERMINATOR`] matched so far.
     terminator_matched: usize,
     body_bytes_left: usize,
@@ -49,10 +51,11 @@
 
 impl WriteProgress {
     fn of_message(body_bytes: usize) -> WriteProgress {
-        WriteProgress { terminator_matched: 0, body_bytes_left: body_bytes }
+        WriteProgress { is_begun: false, terminator_matched: 0, body_bytes_left: body_bytes }
     }
 
     fn on_written(&mut self, bytes: &[u8]) {
+        self.is_begun |= !bytes.is_empty();
         let mut at = 0;
         while at < bytes.len() && self.terminator_matched < HEAD_TERMINATOR.len() {
             let matches = bytes[at] == HEAD_TERMINATOR[self.terminator_matched];
@@ -254,6 +257,11 @@
         self.state().progress = WriteProgress::of_message(body_bytes);
     }
 
+    /// Whether the operating system has taken a byte of the current message.
+    pub fn is_message_begun(&self) -> bool {
+        self.state().progress.is_begun
+    }
+
     /// Whether the operating system has taken the last byte of the current message. Before that the other end
     /// can't have received it in full.
     pub fn is_message_written(&self) -> bool {
--- a/crates/stagepond-sidecar/src/event_loop.rs
+++ b/crates/stagepond-sidecar/src/event_loop.rs
@@ -165,6 +165,7 @@
                     }
                 }
                 Effect::AbortDispatch(id) => pods.abort(id),
+                Effect::WithdrawDispatch(id) => pods.withdraw(id),
                 Effect::Answer(number, answer) => frontend.send_answer(number, answer),
                 Effect::CloseIdleConnections(to) => pods.close_idle(to),
                 Effect::SendDatagram { to, payload } => {
@@ -284,6 +285,7 @@
             tracing::debug!(event = "dispatch", id = request_id, ticket, dispatch = id.0, %to, wait, "inv");
         }
         Effect::AbortDispatch(id) => tracing::debug!(event = "given_up", dispatch = id.0, "inv"),
+        Effect::WithdrawDispatch(id) => tracing::debug!(event = "withdrawn", dispatch = id.0, "inv"),
         Effect::Answer(number, answer) => {
             let answer = match answer {
                 FinalAnswer::Succeeded(_) => "succeeded",
--- a/crates/stagepond-sidecar/src/messages.rs
+++ b/crates/stagepond-sidecar/src/messages.rs
@@ -271,6 +271,9 @@
     },
     /// Close the dispatch's connection; its outcome is no longer wanted.
     AbortDispatch(DispatchId),
+    /// Close the dispatch's connection unless a byte of the request was written; its outcome is then
+    /// [`Ending::Moot`].
+    WithdrawDispatch(DispatchId),
     /// Answer an invocation.
     Answer(InvocationNumber, FinalAnswer),
     /// Close the idle connections to this pod address; busy ones close after their dispatch.
--- a/crates/stagepond-sidecar/src/pods.rs
+++ b/crates/stagepond-sidecar/src/pods.rs
@@ -163,6 +163,7 @@
         // Without a descriptor nothing is sent, and the pod is not at fault.
         let Some(connection) = self.take_connection(to) else { return self.report_unsent(id) };
         let trace = connection.trace.clone();
+        trace.begin_message(request.body.len());
         let (clock, inputs, idle) = (self.clock, self.inputs.clone(), self.idle.clone());
         let (warnings, reuse_stats) = (self.warnings.clone(), self.reuse_stats.clone());
         let task = tokio::spawn(async move {
@@ -256,6 +257,15 @@
         }
     }
 
+    /// Ends a dispatch of which no byte was written, as while its connection is being established. Its
+    /// connection is closed before this returns. A dispatch that has begun goes on.
+    pub fn withdraw(&mut self, id: DispatchId) {
+        if self.dispatches.get(&id).is_some_and(|dispatch| !dispatch.trace.is_message_begun()) {
+            self.abort(id);
+            self.report_unsent(id);
+        }
+    }
+
     /// Removes a dispatch that has ended.
     pub fn forget(&mut self, id: DispatchId) {
         self.dispatches.remove(&id);
@@ -275,7 +285,6 @@
     connection: &PodConnection, request: &ForwardedRequest, to: SocketAddr, timeout: Tenths, clock: Clock,
     warnings: &RateLimitedLog,
 ) -> (DispatchOutcome, bool) {
-    connection.trace.begin_message(request.body.len());
     let mut response = ForwardedResponse::default();
     let (mut ending, mut in_flight) = (Ending::Reset, None);
     let (mut reusable, mut not_found) = (false, false);
--- a/crates/stagepond-sidecar/src/reducer.rs
+++ b/crates/stagepond-sidecar/src/reducer.rs
@@ -575,6 +575,14 @@
         self.host.pods.len().max(self.host.addresses.len())
     }
 
+    /// Open dispatches in the order of their numbers.
+    #[cfg(test)]
+    pub fn open_dispatch_ids(&self) -> Vec<DispatchId> {
+        let mut ids: Vec<_> = self.host.dispatches.keys().copied().collect();
+        ids.sort();
+        ids
+    }
+
     /// Number of pending invocations and of open dispatches.
     #[cfg(test)]
     pub fn pending_counts(&self) -> (usize, usize) {
--- a/crates/stagepond-sidecar/src/reducer_host.rs
+++ b/crates/stagepond-sidecar/src/reducer_host.rs
@@ -205,12 +205,14 @@
         self.effects.push(Effect::CastVote { build, stage, verdict, lease: None });
     }
 
-    /// Records that an invocation is answered, or that nobody waits for its answer any more. Returns its number;
-    /// `None` if it was answered before.
+    /// Records that an invocation is answered, or that nobody waits for its answer any more, and withdraws its
+    /// dispatches that no pod has heard of. Returns its number; `None` if it was answered before.
     pub(crate) fn mark_answered(&mut self, inv: &InvId) -> Option<InvocationNumber> {
         let invocation = self.invocations.get_mut(inv).filter(|invocation| !invocation.answered)?;
         invocation.answered = true;
         self.unanswered -= 1;
+        let open = invocation.open_dispatches.iter();
+        self.effects.extend(open.map(|(_, id)| Effect::WithdrawDispatch(*id)));
         Some(invocation.number)
     }
 
--- a/crates/stagepond-sidecar/src/reducer_tests.rs
+++ b/crates/stagepond-sidecar/src/reducer_tests.rs
@@ -262,6 +262,48 @@
     assert!(answers(&harness.all_effects).is_empty());
 }
 
+/// Guards against an attempt that waits for its connection and begins after nobody waits for it any more.
+#[rstest]
+fn open_dispatches_are_withdrawn_once_their_client_has_left() {
+    let mut harness = ReducerHarness::with_pods(1);
+    let (number, effects) = harness.send_invocation(SIDE_EFFECTING);
+    let (id, _) = dispatches(&effects)[0];
+    let effects = harness.apply(Input::ClientDisconnected(number));
+    assert!(effects.contains(&Effect::WithdrawDispatch(id)), "{effects:?}");
+    assert!(dispatches(&harness.end_dispatch(id, Ending::Moot)).is_empty());
+    assert_eq!(harness.reducer.pending_counts(), (0, 0));
+}
+
+/// Guards against a second copy that begins after the first one's answer.
+#[rstest]
+fn open_copies_are_withdrawn_once_the_invocation_is_answered() {
+    let facts = Facts { parallel_dispatches: true, ..test_facts() };
+    let mut harness = ReducerHarness::new(facts, vec![pod_entry(1, 1)]);
+    let sent: Vec<_> = (0..12).map(|_| harness.send_invocation(IDEMPOTENT)).collect();
+    harness.apply(Input::PodListReceived(pod_list(false, vec![pod_entry(2, 1)])));
+    let copies = dispatches(&harness.advance(Tenths::ms(1200)));
+    let effects = harness.end_dispatch(dispatches(&sent[0].1)[0].0, Ending::Succeeded);
+    let withdrawn = |effect: &Effect| matches!(effect, Effect::WithdrawDispatch(id) if copies.iter().any(|(copy, _)| copy == id));
+    assert!(effects.iter().any(withdrawn), "{effects:?}");
+}
+
+/// Guards against further attempts for a client that can't be seen, and against a request without an answer.
+#[rstest]
+#[case::turned_away(Ending::Full)]
+#[case::reset(Ending::Reset)]
+fn hidden_client_is_answered_once_and_nothing_more_is_sent(#[case] ending: Ending) {
+    let mut harness = ReducerHarness::with_pods(3);
+    let (number, effects) = harness.send_invocation(SIDE_EFFECTING);
+    harness.end_dispatch(dispatches(&effects)[0].0, ending);
+    harness.apply(Input::ClientHidden(number));
+    let open: Vec<_> = harness.reducer.open_dispatch_ids();
+    for id in open {
+        assert!(dispatches(&harness.end_dispatch(id, Ending::Moot)).is_empty());
+    }
+    assert!(dispatches(&harness.advance(TIME_LIMIT)).is_empty());
+    assert!(matches!(answers(&harness.all_effects)[..], [(n, FinalAnswer::Terminated)] if n == number));
+}
+
 #[rstest]
 fn stuck_dispatch_is_aborted_before_the_next_one_is_sent() {
     let mut harness = ReducerHarness::with_pods(1);
--- a/crates/stagepond-sidecar/tests/program/leaving.rs
+++ b/crates/stagepond-sidecar/tests/program/leaving.rs
@@ -5,6 +5,8 @@
 use nix::sys::signal::Signal;
 use rstest::rstest;
 use serde_json::json;
+use tokio::io::AsyncReadExt;
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
 use crate::harness::*;
 use crate::mock_server::{MockServer, Request};
@@ -12,6 +14,8 @@
 /// How long after a client's close an attempt for it may still begin.
 const LEAVE_GRACE: Duration = Duration::from_millis(100);
 
+/// The system asks again for a connection that was not accepted after 1 s at first.
+const CONNECT_RETRY_TIME: Duration = Duration::from_millis(1500);
 /// Clients that a sidecar with 64 descriptors takes.
 const CLIENT_PLACES: usize = 18;
 
@@ -148,6 +152,54 @@
     assert_nothing_else_is_sent(&sidecar, &mut pod).await;
 }
 
+/// A listener whose queue is full, so that connections to it come up late, and the connections that fill it.
+async fn start_crowded_pod() -> (TcpListener, Vec<TcpStream>) {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let listener = socket.listen(0).unwrap();
+    let address = listener.local_addr().unwrap();
+    let mut fillers = Vec::new();
+    while let Ok(filler) = tokio::time::timeout(LEAVE_GRACE, TcpStream::connect(address)).await {
+        fillers.push(filler.unwrap());
+    }
+    (listener, fillers)
+}
+
+/// Waits until a connection to this port is being established.
+async fn wait_for_connection_attempt(port: u16) {
+    let connecting = format!(":{port:04X} 02 ");
+    let seen = async {
+        while !std::fs::read_to_string("/proc/net/tcp").unwrap().contains(&connecting) {
+            tokio::task::yield_now().await;
+        }
+    };
+    tokio::time::timeout(EVENT_TIMEOUT, seen).await.expect("no connection was attempted");
+}
+
+/// Guards against an attempt that waits for its connection and begins after its client has left.
+#[rstest]
+#[tokio::test]
+async fn attempt_does_not_begin_if_its_client_leaves_while_it_connects() {
+    let (pod, fillers) = start_crowded_pod().await;
+    let sidecar = Sidecar::start_with(&[pod.local_addr().unwrap()], |config| {
+        config["settings"]["bounds"]["connect_timeout_ms"] = json!(4000.0);
+    })
+    .await;
+    let mut client = sidecar.connect_client().await;
+    client.send(&orders(1, 20)).await;
+    wait_for_connection_attempt(pod.local_addr().unwrap().port()).await;
+    drop(client);
+    tokio::time::sleep(LEAVE_GRACE).await;
+    for _ in &fillers {
+        pod.accept().await.unwrap();
+    }
+    // The system asks for the connection again within this time.
+    let late = tokio::time::timeout(CONNECT_RETRY_TIME, pod.accept()).await;
+    let Ok(Ok((mut late, _))) = late else { return };
+    let received = tokio::time::timeout(LEAVE_GRACE, late.read(&mut [0; 1024])).await;
+    assert!(!matches!(received, Ok(Ok(1..))), "{received:?}: sent after the client had left");
+}
+
 /// Guards against a watch on clients that costs a request its answer: whoever stays is answered, in order.
 #[rstest]
 #[tokio::test]
