--- a/crates/stagepond-sidecar/src/client_connections.rs
+++ b/crates/stagepond-sidecar/src/client_connections.rs
@@ -13,11 +13,15 @@
 /// same data centre; a connection that takes longer, or that was opened and sent nothing, holds a descriptor
 /// that others need.
 const MESSAGE_READ_TIMEOUT: Tenths = Tenths::ms(2300);
+/// How long a client may take none of the bytes of an answer. They hold memory that others need.
+const ANSWER_READ_TIMEOUT: Tenths = Tenths::ms(2300);
 /// A client that keeps its connection may rely on it for this long between two invocations.
 const MIN_KEEP_ALIVE: Tenths = Tenths::ms(2000);
 /// Age from which a connection without an invocation may be evicted at the limit. Clients send as soon as
 /// they are connected, but one that is busy itself takes a while, above all in a burst.
 const NEW_CONNECTION_GRACE: Tenths = Tenths::ms(400);
+/// How long a body may take while others wait for memory.
+const BODY_GRACE: Tenths = Tenths::ms(400);
 /// Share of the connection limit above which idle connections are closed before their places are needed.
 const HIGH_LOAD_SHARE: f64 = 0.75;
 /// Share of the connection limit above which every answer closes its connection, counting those alone that have
@@ -40,6 +44,17 @@
     pub immediate: Notify,
 }
 
+/// Which part of a request is to be received next.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Receiving {
+    /// The head, or the rest of it.
+    Head,
+    /// The body, once there is memory for it; the connection waits for the sidecar.
+    BodyWithoutMemory,
+    /// The body, for which memory is held since this time.
+    Body(Tenths),
+}
+
 /// State of one client connection.
 struct ClientConnection {
     opened_at: Tenths,
@@ -49,6 +64,7 @@
     invocations: u64,
     /// Number of requests that have been answered.
     answered: u64,
+    receiving: Receiving,
     /// Whether the client has asked for `/ready`. Such a connection is not cut for being silent, but at the
     /// limit it does not keep other clients out either.
     asked_ready: bool,
@@ -74,6 +90,13 @@
         }
     }
 
+    /// When the connection is cut for its client's slowness.
+    fn cut_at(&self) -> Tenths {
+        let unread_since = self.trace.write_blocked_since();
+        let write_deadline = unread_since.map_or(Tenths::NEVER, |since| since + ANSWER_READ_TIMEOUT);
+        self.read_deadline().min(write_deadline)
+    }
+
     /// Whether a refusal is the answer to whatever request comes next or has come in part.
     fn may_be_refused(&self) -> bool {
         self.idle_since.is_some() && self.trace.is_all_answered(self.answered)
@@ -90,10 +113,12 @@
 
     /// Whether the connection may make room at the limit although it was never idle for long.
     fn is_evictable(&self, now: Tenths) -> bool {
-        let begun_at = match self.trace.message_begun_at() {
+        let begun_at = match (self.receiving, self.trace.message_begun_at()) {
+            (Receiving::BodyWithoutMemory, _) => return false,
+            (Receiving::Body(since), _) => since,
             // An invocation may follow a readiness check long after the connection was opened.
-            Some(begun_at) if self.asked_ready => begun_at,
-            _ => self.opened_at,
+            (Receiving::Head, Some(begun_at)) if self.asked_ready => begun_at,
+            (Receiving::Head, _) => self.opened_at,
         };
         self.invocations == 0 && self.idle_since.is_some() && now >= begun_at + NEW_CONNECTION_GRACE
     }
@@ -150,6 +175,7 @@
             idle_since: Some(now),
             invocations: 0,
             answered: 0,
+            receiving: Receiving::Head,
             asked_ready: false,
             trace,
             signals,
@@ -192,15 +218,31 @@
     pub fn on_invocation(&mut self, id: ConnectionId) {
         if let Some(connection) = self.connections.get_mut(&id) {
             connection.idle_since = None;
+            connection.receiving = Receiving::Head;
             connection.invocations += 1;
             self.used_connections += usize::from(connection.invocations == 1);
         }
     }
 
+    /// Records that a body is not read before there is memory for it.
+    pub fn on_body_waiting(&mut self, id: ConnectionId) {
+        if let Some(connection) = self.connections.get_mut(&id) {
+            connection.receiving = Receiving::BodyWithoutMemory;
+        }
+    }
+
+    /// Records that memory is held for a body, which is read from now on.
+    pub fn on_body_begun(&mut self, id: ConnectionId, now: Tenths) {
+        if let Some(connection) = self.connections.get_mut(&id) {
+            connection.receiving = Receiving::Body(now);
+        }
+    }
+
     /// Records that a request of this connection has got its answer, an invocation or any other.
     pub fn on_answered(&mut self, id: ConnectionId, now: Tenths) {
         if let Some(connection) = self.connections.get_mut(&id) {
             connection.idle_since = Some(now);
+            connection.receiving = Receiving::Head;
             connection.answered += 1;
         }
     }
@@ -271,12 +313,24 @@
         self.connections.values().for_each(|c| c.signals.refuse.notify_one());
     }
 
-    /// Cuts the connections that have not sent a whole message in time, and closes idle ones above
+    /// Refuses the request that has held memory for longest without being received in full, because others wait
+    /// for memory.
+    pub fn refuse_slowest_body(&self, now: Tenths) {
+        let slow = self.connections.values().filter_map(|connection| match connection.receiving {
+            Receiving::Body(since) if now >= since + BODY_GRACE => Some((since, connection)),
+            _ => None,
+        });
+        let slow = slow.filter(|(_, connection)| connection.may_be_refused());
+        let slowest = slow.min_by_key(|(since, _)| *since).map(|(_, connection)| connection);
+        slowest.into_iter().for_each(|c| c.signals.refuse.notify_one());
+    }
+
+    /// Cuts the connections that have not sent a whole message in time or do not read, and closes idle ones above
     /// [`HIGH_LOAD_SHARE`].
     pub fn sweep(&self, now: Tenths) {
         self.connections
             .values()
-            .filter(|c| c.read_deadline() <= now)
+            .filter(|c| c.cut_at() <= now)
             .for_each(|c| c.signals.immediate.notify_one());
         self.close_longest_idle(self.connections.len().saturating_sub(self.high_load_threshold()), now);
     }
--- a/crates/stagepond-sidecar/src/connection.rs
+++ b/crates/stagepond-sidecar/src/connection.rs
@@ -221,6 +221,8 @@
     retired: bool,
     progress: WriteProgress,
     last_received_at: Tenths,
+    /// Since when the operating system takes no more bytes, because the other end reads none.
+    write_blocked_since: Option<Tenths>,
     /// Present only on connections that receive requests.
     incoming: Option<IncomingMessages>,
 }
@@ -317,6 +319,11 @@
         stream.ok_or(io::ErrorKind::NotConnected)?.try_write(bytes)
     }
 
+    /// Since when bytes wait to be written, because the other end reads none.
+    pub fn write_blocked_since(&self) -> Option<Tenths> {
+        self.state().write_blocked_since
+    }
+
     /// When bytes were last received.
     pub fn last_received_at(&self) -> Tenths {
         self.state().last_received_at
@@ -466,10 +473,16 @@
         self: Pin<&mut Self>, cx: &mut Context<'_>, slices: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         loop {
-            ready!(self.stream.poll_write_ready(cx))?;
+            if self.stream.poll_write_ready(cx)?.is_pending() {
+                let now = self.clock.now();
+                self.trace.state().write_blocked_since.get_or_insert(now);
+                return Poll::Pending;
+            }
             match self.stream.try_write_vectored(slices) {
                 Ok(len) => {
-                    self.trace.state().progress.on_written_vectored(slices, len);
+                    let mut state = self.trace.state();
+                    state.write_blocked_since = None;
+                    state.progress.on_written_vectored(slices, len);
                     return Poll::Ready(Ok(len));
                 }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
--- a/crates/stagepond-sidecar/src/event_loop.rs
+++ b/crates/stagepond-sidecar/src/event_loop.rs
@@ -13,9 +13,10 @@
 
 use crate::config::SidecarConfig;
 use crate::discovery;
-use crate::frontend::{self, Frontend};
+use crate::frontend::Frontend;
 use crate::leadership::{LeadershipController, LeadershipEvent};
 use crate::lifecycle::State;
+use crate::memory::{MemoryBudget, MemoryPlan};
 use crate::messages::*;
 use crate::peers::PeerSocket;
 use crate::platform::{self, VoteRequest};
@@ -32,9 +33,6 @@
 /// mostly one dispatch in progress, but some clients connect without sending anything or stay connected after
 /// their answer.
 const CLIENT_SOCKET_SHARE: f64 = 0.58;
-/// Share of the memory limit for all client connections. They hold half a message each on average; the limit
-/// on their number counts a whole message for each.
-const CLIENT_MEMORY_SHARE: f64 = 0.4;
 /// Capacity of the channel for inputs other than those of clients and pods; its senders wait while it is
 /// full.
 const CONTROL_QUEUE_CAPACITY: usize = 64;
@@ -63,15 +61,16 @@
 
     let shared_sockets =
         config.transport.max_sockets - RESERVED_SOCKETS.min(config.transport.max_sockets / 2);
-    let clients_max = (shared_sockets as f64 * CLIENT_SOCKET_SHARE) as usize;
-    let clients_in_memory = (config.transport.memory_bytes as f64 * CLIENT_MEMORY_SHARE) as usize
-        / frontend::MAX_CONNECTION_BYTES;
-    let clients_max = clients_max.min(clients_in_memory);
+    let sockets_of_clients = (shared_sockets as f64 * CLIENT_SOCKET_SHARE) as usize;
+    let sockets_of_pods = shared_sockets - sockets_of_clients;
+    let plan = MemoryPlan::new(config.transport.memory_bytes, sockets_of_clients, sockets_of_pods);
+    let memory = MemoryBudget::new(plan.body_bytes);
     let retry_safety = config.facts.operations.iter().map(|o| o.retry_safety);
     let operations = Operations(names.operations.iter().cloned().zip(retry_safety).collect());
-    let frontend = Frontend::new(operations, clients_max, clock, invocation_sender.clone());
+    let frontend =
+        Frontend::new(operations, plan.max_clients, memory.clone(), clock, invocation_sender.clone());
     let mut pods =
-        PodClient::new(shared_sockets - clients_max, config.transport, clock, invocation_sender.clone());
+        PodClient::new(plan.max_pod_connections, config.transport, memory, clock, invocation_sender.clone());
     let peers = match config.peer_listen {
         Some(at) => Some(PeerSocket::bind(at, config.peers, config.peers_all).await?),
         None => None,
@@ -122,7 +121,9 @@
         name = config.name,
         clients = %client_address,
         datagrams = %datagram_address,
-        clients_max,
+        clients_max = plan.max_clients,
+        pod_connections_max = plan.max_pod_connections,
+        body_bytes_max = plan.body_bytes,
         "listening"
     );
     config
--- a/crates/stagepond-sidecar/src/executed_ids.rs
+++ b/crates/stagepond-sidecar/src/executed_ids.rs
@@ -1,7 +1,8 @@
-//! The ids of invocations that a pod may have run and that must not run again. They are kept for a limited time
-//! and in limited number. No I/O.
+//! The ids of invocations that a pod may have run and that must not run again. They are kept for a limited time,
+//! in limited number, and as hashes, so that long ids take no more memory than short ones. No I/O.
 
 use std::collections::{HashSet, VecDeque};
+use std::hash::{DefaultHasher, Hash, Hasher};
 
 use stagepond::host::{DedupScope, Operation, RetrySafety, Tenths};
 
@@ -22,19 +23,32 @@
     }
 }
 
+/// Hash of an id. Another id has the same one in about one of 10^15 look-ups among [`MAX_EXECUTED_IDS`].
+#[derive(Clone, Copy, PartialEq, Eq, Hash)]
+struct IdHash(u64);
+
+impl IdHash {
+    fn of(id: &RequestId) -> IdHash {
+        let mut hasher = DefaultHasher::new();
+        id.hash(&mut hasher);
+        IdHash(hasher.finish())
+    }
+}
+
 /// Ids of invocations that may have run.
 #[derive(Default)]
 pub struct ExecutedIds {
-    ids: HashSet<RequestId>,
+    ids: HashSet<IdHash>,
     /// The same ids with the time at which each is forgotten, oldest first.
-    expiries: VecDeque<(Tenths, RequestId)>,
+    expiries: VecDeque<(Tenths, IdHash)>,
 }
 
 impl ExecutedIds {
     /// Adds the id of an invocation that has ended at `now`.
-    pub fn insert(&mut self, now: Tenths, id: RequestId) {
+    pub fn insert(&mut self, now: Tenths, id: &RequestId) {
         self.remove_expired(now);
-        if !self.ids.insert(id.clone()) {
+        let id = IdHash::of(id);
+        if !self.ids.insert(id) {
             return;
         }
         self.expiries.push_back((now + EXECUTED_ID_RETENTION, id));
@@ -46,7 +60,7 @@
     /// Whether an invocation with this id may have run.
     pub fn contains(&mut self, now: Tenths, id: &RequestId) -> bool {
         self.remove_expired(now);
-        self.ids.contains(id)
+        self.ids.contains(&IdHash::of(id))
     }
 
     /// How many ids are kept.
--- a/crates/stagepond-sidecar/src/frontend.rs
+++ b/crates/stagepond-sidecar/src/frontend.rs
@@ -11,24 +11,27 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 
 use anyhow::{Context, Result};
+use axum::body::Body;
 use axum::extract::{Extension, Request, State as Shared};
 use axum::middleware::{self, Next};
 use axum::response::{IntoResponse, Response};
 use axum::routing::get;
 use axum::Router;
-use hyper::header;
+use bytes::Bytes;
+use hyper::header::{self, HeaderValue};
 use hyper::http::uri::PathAndQuery;
 use hyper::server::conn::http1;
-use hyper::StatusCode;
+use hyper::{HeaderMap, StatusCode, Uri};
 use hyper_util::service::TowerToHyperService;
 use nix::sys::socket::{setsockopt, sockopt};
 use stagepond::host::Tenths;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{mpsc, oneshot, Notify};
 
-use crate::body::{read_body, BodyError};
+use crate::body::{bytes_to_reserve, discard_body, read_body, BodyError};
 use crate::client_connections::{ClientConnections, CloseSignals, ConnectionCounts, ConnectionId};
 use crate::connection::{ConnectionTrace, PeerState, TracedConnection, MAX_HEAD_BYTES};
+use crate::memory::{head_bytes_to_reserve, MemoryBudget, MemoryUse, Reservation};
 use crate::messages::*;
 use crate::request_head::{bad_request, check_head, Operations};
 use crate::responses::{answer_response, close_after, remove_hop_by_hop_headers, throttled_response};
@@ -45,8 +48,12 @@
 const ROOM_CHECK_INTERVAL: Tenths = Tenths::ms(50);
 /// Interval between two checks of all connections for timeouts.
 const SWEEP_INTERVAL: Tenths = Tenths::ms(200);
-/// The most memory that one connection holds: its read buffer and one body.
-pub const MAX_CONNECTION_BYTES: usize = MAX_HEAD_BYTES + MAX_BODY_BYTES;
+/// Interval at which a request that waits for memory asks others to make room.
+const MEMORY_CHECK_INTERVAL: Tenths = Tenths::ms(50);
+/// Longest wait for memory. The request has to be received within its read timeout after that.
+const MAX_MEMORY_WAIT: Tenths = Tenths::ms(1000);
+/// Share of the client's time limit that a request may wait for memory.
+const MEMORY_WAIT_SHARE: f64 = 0.4;
 
 /// The HTTP server for clients.
 pub struct Frontend {
@@ -59,6 +66,7 @@
     next_number: AtomicU64,
     pending_answers: Mutex<HashMap<InvocationNumber, PendingAnswer>>,
     connections: Mutex<ClientConnections>,
+    memory: MemoryBudget,
     /// Notified when a connection has closed or become idle.
     connections_changed: Notify,
     close_listener: Notify,
@@ -80,9 +88,11 @@
 }
 
 impl Frontend {
-    /// Creates a frontend that does not listen yet and holds at most `max_connections` client connections.
+    /// Creates a frontend that does not listen yet. It holds at most `max_connections` client connections, and
+    /// requests within the budget `memory`.
     pub fn new(
-        operations: Operations, max_connections: usize, clock: Clock, inputs: mpsc::UnboundedSender<Input>,
+        operations: Operations, max_connections: usize, memory: MemoryBudget, clock: Clock,
+        inputs: mpsc::UnboundedSender<Input>,
     ) -> Arc<Frontend> {
         Arc::new(Frontend {
             operations,
@@ -94,6 +104,7 @@
             next_number: AtomicU64::new(1),
             pending_answers: Mutex::default(),
             connections: Mutex::new(ClientConnections::new(max_connections)),
+            memory,
             connections_changed: Notify::new(),
             close_listener: Notify::new(),
             warnings: RateLimitedLog::default(),
@@ -341,6 +352,27 @@
         }
     }
 
+    /// Waits for memory for a request, and asks clients that send slowly to make room. `None` if it does not come
+    /// in a part of the client's time limit.
+    async fn reserve_memory(&self, bytes: usize, limit: Tenths) -> Option<Reservation> {
+        let wait_ends_at = self.clock.now() + MAX_MEMORY_WAIT.min(limit.scale(MEMORY_WAIT_SHARE));
+        let reserving = self.memory.reserve(bytes, MemoryUse::Request);
+        tokio::pin!(reserving);
+        loop {
+            let check_at = (self.clock.now() + MEMORY_CHECK_INTERVAL).min(wait_ends_at);
+            let check_at = self.clock.to_instant(check_at).into();
+            if let Ok(reservation) = tokio::time::timeout_at(check_at, &mut reserving).await {
+                return Some(reservation);
+            }
+            if self.clock.now() >= wait_ends_at {
+                self.warnings
+                    .warn(format_args!("memory: a request of {bytes} bytes refused, no room in time"));
+                return None;
+            }
+            self.connections().refuse_slowest_body(self.clock.now());
+        }
+    }
+
     /// Whether the next answer on this connection closes it.
     fn closes_after_answer(&self, id: ConnectionId) -> bool {
         self.leaving.load(Ordering::Relaxed) || self.connections().closes_after_answer(id)
@@ -409,6 +441,51 @@
     }
 }
 
+/// Copies the headers out of the buffer that they were received in, which would be kept with them.
+fn copy_headers(headers: &HeaderMap) -> HeaderMap {
+    let mut copy = HeaderMap::with_capacity(headers.len());
+    for (name, value) in headers {
+        let value =
+            HeaderValue::from_bytes(value.as_bytes()).expect("a header value is one when it is copied");
+        copy.append(name, value);
+    }
+    copy
+}
+
+/// Copies the target of a request, as [`copy_headers`] does.
+fn copy_target(uri: &Uri) -> PathAndQuery {
+    let target = uri.path_and_query().map_or("/", PathAndQuery::as_str);
+    PathAndQuery::try_from(target).unwrap_or_else(|_| PathAndQuery::from_static("/"))
+}
+
+/// Receives the body of an invocation once there is memory for it and for a long head. Fails with the response
+/// to a request that can't be received.
+async fn receive_body(
+    frontend: &Frontend, connection: &ConnectionHandle, headers: &HeaderMap, body: Body, limit: Tenths,
+) -> Result<Bytes, Response> {
+    let reject = |error| {
+        close_after(match error {
+            BodyError::TooLong => StatusCode::PAYLOAD_TOO_LARGE.into_response(),
+            error => bad_request(&error.to_string()).into_response(),
+        })
+    };
+    let head_bytes = head_bytes_to_reserve(headers);
+    let bytes = head_bytes + bytes_to_reserve(&body, MAX_BODY_BYTES).map_err(reject)?;
+    if bytes == 0 {
+        return Ok(Bytes::new());
+    }
+    frontend.connections().on_body_waiting(connection.id);
+    let Some(reservation) = frontend.reserve_memory(bytes, limit).await else {
+        // The answer could be lost if the connection ended while bytes of the request are unread.
+        discard_body(body, MAX_BODY_BYTES).await.map_err(reject)?;
+        return Err(throttled_response(Tenths(0)));
+    };
+    frontend.connections().on_body_begun(connection.id, frontend.clock.now());
+    let body = read_body(body, MAX_BODY_BYTES).await.map_err(reject)?;
+    let kept_bytes = head_bytes + body.len();
+    Ok(reservation.hold(body, kept_bytes))
+}
+
 /// Handles an invocation: checks it, reports it to the reducer and waits for the answer.
 async fn invoke(
     Shared(frontend): Shared<Arc<Frontend>>, Extension(connection): Extension<ConnectionHandle>,
@@ -420,14 +497,14 @@
         Ok(checked) => checked,
         Err(rejection) => return close_after(rejection.into_response()),
     };
-    let body = match read_body(body, MAX_BODY_BYTES).await {
+    let (method, target) = (head.method, copy_target(&head.uri));
+    let mut headers = copy_headers(&head.headers);
+    remove_hop_by_hop_headers(&mut headers);
+    drop((head.uri, head.headers));
+    let body = match receive_body(&frontend, &connection, &headers, body, limit).await {
         Ok(body) => body,
-        Err(BodyError::TooLong) => return close_after(StatusCode::PAYLOAD_TOO_LARGE.into_response()),
-        Err(error) => return close_after(bad_request(&error.to_string()).into_response()),
+        Err(response) => return response,
     };
-    let (method, uri, mut headers) = (head.method, head.uri, head.headers);
-    remove_hop_by_hop_headers(&mut headers);
-    let target = uri.path_and_query().cloned().unwrap_or_else(|| PathAndQuery::from_static("/"));
     let request = Arc::new(ForwardedRequest { method, target, headers, body });
     match connection.trace.peer_state() {
         PeerState::Present => {}
--- a/crates/stagepond-sidecar/src/lib.rs
+++ b/crates/stagepond-sidecar/src/lib.rs
@@ -15,6 +15,7 @@
 #[cfg(test)]
 mod leadership_tests;
 pub mod lifecycle;
+pub mod memory;
 pub mod messages;
 pub mod operators;
 pub mod peers;
--- a/crates/stagepond-sidecar/src/pods.rs
+++ b/crates/stagepond-sidecar/src/pods.rs
@@ -14,7 +14,7 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::body::Body;
+use hyper::body::{Body, Incoming};
 use hyper::header::TRANSFER_ENCODING;
 use hyper::http::uri::{Authority, Scheme, Uri};
 use hyper::{HeaderMap, Request, StatusCode};
@@ -24,9 +24,10 @@
 use tokio::sync::mpsc;
 use tokio::task::AbortHandle;
 
-use crate::body::read_body;
+use crate::body::{bytes_to_reserve, read_body, BodyError};
 use crate::config::TransportConfig;
 use crate::connection::{ConnectionTrace, TracedConnection, MAX_HEAD_BYTES};
+use crate::memory::{head_bytes_to_reserve, MemoryBudget, MemoryUse};
 use crate::messages::*;
 use crate::stream::RateLimitedLog;
 
@@ -131,15 +132,17 @@
     connection_count: Arc<()>,
     max_connections: usize,
     transport: TransportConfig,
+    memory: MemoryBudget,
     clock: Clock,
     inputs: mpsc::UnboundedSender<Input>,
     warnings: Arc<RateLimitedLog>,
 }
 
 impl PodClient {
-    /// Creates a client that opens up to `max_connections` connections and sends outcomes to `inputs`.
+    /// Creates a client that opens up to `max_connections` connections, holds responses within the budget
+    /// `memory` and sends outcomes to `inputs`.
     pub fn new(
-        max_connections: usize, transport: TransportConfig, clock: Clock,
+        max_connections: usize, transport: TransportConfig, memory: MemoryBudget, clock: Clock,
         inputs: mpsc::UnboundedSender<Input>,
     ) -> PodClient {
         PodClient {
@@ -149,6 +152,7 @@
             connection_count: Arc::new(()),
             max_connections,
             transport,
+            memory,
             clock,
             inputs,
             warnings: Arc::default(),
@@ -165,12 +169,13 @@
         let trace = connection.trace.clone();
         trace.begin_message(request.body.len());
         let (clock, inputs, idle) = (self.clock, self.inputs.clone(), self.idle.clone());
+        let memory = self.memory.clone();
         let (warnings, reuse_stats) = (self.warnings.clone(), self.reuse_stats.clone());
         let task = tokio::spawn(async move {
             let reused = connection.trace.is_open();
             let started_at = clock.now();
             let (outcome, reusable) =
-                send_request(&connection, &request, to, timeout, clock, &warnings).await;
+                send_request(&connection, &request, to, timeout, clock, &memory, &warnings).await;
             if reused {
                 // Broken: reset before any byte arrived in response to this request.
                 let broke =
@@ -283,7 +288,7 @@
 /// exactly one complete response and may be used again.
 async fn send_request(
     connection: &PodConnection, request: &ForwardedRequest, to: SocketAddr, timeout: Tenths, clock: Clock,
-    warnings: &RateLimitedLog,
+    memory: &MemoryBudget, warnings: &RateLimitedLog,
 ) -> (DispatchOutcome, bool) {
     let mut response = ForwardedResponse::default();
     let (mut ending, mut in_flight) = (Ending::Reset, None);
@@ -303,7 +308,7 @@
             // A body without a length ends with the connection, so one that was cut short looks complete.
             let delimited =
                 body.size_hint().exact().is_some() || head.headers.contains_key(TRANSFER_ENCODING);
-            if let (true, Ok(body)) = (delimited, read_body(body, MAX_BODY_BYTES).await) {
+            if let (true, Ok(body)) = (delimited, read_response_body(&head.headers, body, memory).await) {
                 ending = response_ending(head.status, &head.headers);
                 not_found = head.status == StatusCode::NOT_FOUND;
                 response = ForwardedResponse { headers: head.headers, body };
@@ -318,6 +323,21 @@
     (DispatchOutcome { ending, ended_at, in_flight, response, not_found }, reusable)
 }
 
+/// Reads the body of a response once the budget has room for it.
+async fn read_response_body(
+    headers: &HeaderMap, body: Incoming, memory: &MemoryBudget,
+) -> Result<Bytes, BodyError> {
+    let head_bytes = head_bytes_to_reserve(headers);
+    let bytes = head_bytes + bytes_to_reserve(&body, MAX_BODY_BYTES)?;
+    if bytes == 0 {
+        return Ok(Bytes::new());
+    }
+    let reservation = memory.reserve(bytes, MemoryUse::Response).await;
+    let body = read_body(body, MAX_BODY_BYTES).await?;
+    let kept_bytes = head_bytes + body.len();
+    Ok(reservation.hold(body, kept_bytes))
+}
+
 /// Maps the head of a complete response to an ending.
 fn response_ending(status: StatusCode, headers: &HeaderMap) -> Ending {
     let not_processed = headers.get(NOT_PROCESSED_HEADER).is_some_and(|v| v == "1");
--- a/crates/stagepond-sidecar/src/reducer_host.rs
+++ b/crates/stagepond-sidecar/src/reducer_host.rs
@@ -243,7 +243,7 @@
             let Some(invocation) = self.invocations.remove(inv) else { return };
             self.request_ids.remove(&invocation.request_id);
             if invocation.must_not_run_twice && invocation.may_have_run {
-                self.executed_ids.insert(self.now, invocation.request_id);
+                self.executed_ids.insert(self.now, &invocation.request_id);
             }
         }
     }
--- a/crates/stagepond-sidecar/tests/client_connections.rs
+++ b/crates/stagepond-sidecar/tests/client_connections.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use futures_util::FutureExt;
-use hyper::rt::{Read, ReadBuf};
+use hyper::rt::{Read, ReadBuf, Write};
 use rstest::rstest;
 use stagepond::host::Tenths;
 use stagepond_sidecar::client_connections::{ClientConnections, CloseSignals, ConnectionId};
@@ -165,3 +165,62 @@
     registry.remove(connections[LIMIT - 2].id);
     assert!(!registry.closes_after_answer(connections[0].id));
 }
+
+/// Guards against bodies that stop half way and keep the memory that others wait for until their time limit.
+#[rstest]
+#[case::within_the_grace(Tenths::ms(300), Asked::No)]
+#[case::after_the_grace(Tenths::ms(400), Asked::Refuse)]
+#[tokio::test]
+async fn body_that_holds_memory_for_long_makes_room_for_others(#[case] age: Tenths, #[case] slowest: Asked) {
+    let (mut registry, clock) = (ClientConnections::new(LIMIT), Clock::start());
+    let now = clock.now();
+    let mut waiting = Connection::open(&mut registry, clock, now).await;
+    let mut slow = Connection::open(&mut registry, clock, now).await;
+    let mut quicker = Connection::open(&mut registry, clock, now).await;
+    for connection in [&mut waiting, &mut slow, &mut quicker] {
+        connection.receive("POST /order HTTP/1.1\r\nContent-Length: 9\r\n\r\nhalf").await;
+    }
+    registry.on_body_waiting(waiting.id);
+    registry.on_body_begun(slow.id, now);
+    registry.on_body_begun(quicker.id, now + Tenths(1));
+    registry.refuse_slowest_body(now + age);
+    assert_eq!((waiting.asked(), slow.asked(), quicker.asked()), (Asked::No, slowest, Asked::No));
+}
+
+/// Guards against clients that take no answer and keep its memory for as long as they stay.
+#[rstest]
+#[tokio::test]
+async fn connection_whose_client_reads_nothing_is_cut() {
+    let (mut registry, clock) = (ClientConnections::new(LIMIT), Clock::start());
+    let mut connection = Connection::open(&mut registry, clock, clock.now()).await;
+    registry.on_invocation(connection.id);
+    let bytes = vec![0; 64 << 10];
+    let mut is_blocked = false;
+    while !is_blocked {
+        let write = |cx: &mut std::task::Context| Pin::new(&mut connection.server).poll_write(cx, &bytes);
+        is_blocked = std::future::poll_fn(write).now_or_never().is_none();
+    }
+    let blocked_since = connection.trace.write_blocked_since().unwrap();
+    registry.sweep(blocked_since + LATER);
+    assert_eq!(connection.asked(), Asked::No);
+    registry.sweep(blocked_since + LATER + Tenths::ms(200));
+    assert_eq!(connection.asked(), Asked::AtOnce);
+}
+
+/// Guards against a client that is refused for a place because the sidecar itself has no memory for its body yet.
+#[rstest]
+#[tokio::test]
+async fn connection_that_waits_for_memory_is_not_evicted() {
+    let (mut registry, clock) = (ClientConnections::new(LIMIT), Clock::start());
+    let now = clock.now();
+    let mut waiting = Connection::open(&mut registry, clock, now).await;
+    waiting.receive("POST /order HTTP/1.1\r\nContent-Length: 9\r\n\r\n").await;
+    registry.on_body_waiting(waiting.id);
+    registry.make_room(now + LATER);
+    assert_eq!(waiting.asked(), Asked::No);
+    registry.on_body_begun(waiting.id, now + LATER);
+    registry.make_room(now + LATER + Tenths::ms(300));
+    assert_eq!(waiting.asked(), Asked::No);
+    registry.make_room(now + LATER + Tenths::ms(400));
+    assert_eq!(waiting.asked(), Asked::Refuse);
+}
