--- a/crates/stagepond-sidecar/src/config.rs
+++ b/crates/stagepond-sidecar/src/config.rs
@@ -6,6 +6,7 @@
 
 use anyhow::{anyhow, bail, Context, Result};
 use serde::Deserialize;
+use serde_json::value::RawValue;
 use serde_json::Value;
 use stagepond::host::{Build, Facts, Phase, Tenths};
 use stagepond_facts::Names;
@@ -81,7 +82,7 @@
 }
 
 #[derive(Deserialize)]
-struct ConfigFile {
+struct ConfigFile<'a> {
     name: Option<String>,
     listen: Option<String>,
     discovery: Option<String>,
@@ -92,7 +93,9 @@
     peers: Vec<String>,
     peers_all: Option<String>,
     pipeline: Option<PipelineSection>,
-    known: Option<Value>,
+    /// Kept as text: the tree of a long list takes ten times the memory of the list itself.
+    #[serde(borrow)]
+    known: Option<&'a RawValue>,
     settings: Value,
 }
 
@@ -215,7 +218,7 @@
         bail!("limits.sockets: {}, expected at least {MIN_SOCKETS}", file.limits.sockets);
     }
     let known_pods = match file.known {
-        Some(known) => discovery::decode_list(known, &names).context("known")?,
+        Some(known) => discovery::decode_list(known.get(), &names).context("known")?,
         None => PodList { index: 0, is_snapshot: true, pods: Vec::new() },
     };
     let discovery_address = match load_kind {
--- a/crates/stagepond-sidecar/src/event_loop.rs
+++ b/crates/stagepond-sidecar/src/event_loop.rs
@@ -69,8 +69,13 @@
     let operations = Operations(names.operations.iter().cloned().zip(retry_safety).collect());
     let frontend =
         Frontend::new(operations, plan.max_clients, memory.clone(), clock, invocation_sender.clone());
-    let mut pods =
-        PodClient::new(plan.max_pod_connections, config.transport, memory, clock, invocation_sender.clone());
+    let mut pods = PodClient::new(
+        plan.max_pod_connections,
+        config.transport,
+        memory.clone(),
+        clock,
+        invocation_sender.clone(),
+    );
     let peers = match config.peer_listen {
         Some(at) => Some(PeerSocket::bind(at, config.peers, config.peers_all).await?),
         None => None,
@@ -151,6 +156,7 @@
         config.rollout_status,
         OptionalParts { leadership, verification },
     );
+    memory.make_room_for_pods(reducer.known_pod_count());
     let mut batch = Vec::new();
     loop {
         for effect in effects.drain(..) {
@@ -239,7 +245,11 @@
             if tracing::enabled!(tracing::Level::DEBUG) {
                 trace_input(&input);
             }
+            let is_pod_list = matches!(input, Input::PodListReceived(_));
             effects.extend(reducer.apply(clock.now(), input));
+            if is_pod_list {
+                memory.make_room_for_pods(reducer.known_pod_count());
+            }
         }
     }
 }
--- a/crates/stagepond-sidecar/src/memory.rs
+++ b/crates/stagepond-sidecar/src/memory.rs
@@ -6,6 +6,7 @@
 //! alone. Responses therefore come through while requests wait for memory, and a request that holds memory can
 //! always be finished.
 
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -17,8 +18,13 @@
 
 /// Part of the limit that nothing is planned for: what the allocator can't use again at once. The denominator.
 const MARGIN_DIVISOR: usize = 8;
-/// The program itself, the runtime, the module, the pod list and the ids that must not run again.
+/// The program itself, the runtime, the module, the ids that must not run again, and the first
+/// [`PODS_IN_PROCESS`] pods.
 const PROCESS_BYTES: usize = 7 << 20;
+/// Number of pods that count for the process.
+const PODS_IN_PROCESS: usize = 512;
+/// What a pod takes in the list, while a list is decoded, and in the module.
+const POD_BYTES: usize = 2 << 10;
 /// A client's connection with its task, its buffers and the fields of one head, without a body.
 const CLIENT_CONNECTION_BYTES: usize = 36 << 10;
 /// A connection to a pod with its tasks, its buffers and the fields of one head, without a body.
@@ -83,18 +89,37 @@
 pub struct MemoryBudget {
     shared: Arc<Semaphore>,
     responses: Arc<Semaphore>,
+    taken_for_pods: Arc<AtomicUsize>,
+    /// Bytes of the shared part that pods may take.
+    max_for_pods: usize,
 }
 
 impl MemoryBudget {
     /// A budget of this many bytes, all of them free.
     pub fn new(bytes: usize) -> MemoryBudget {
         let for_responses = bytes / RESPONSES_DIVISOR;
+        let for_both = bytes - for_responses;
         MemoryBudget {
-            shared: Arc::new(Semaphore::new(bytes - for_responses)),
+            shared: Arc::new(Semaphore::new(for_both)),
             responses: Arc::new(Semaphore::new(for_responses)),
+            taken_for_pods: Arc::default(),
+            max_for_pods: for_both.saturating_sub(MIN_BODIES * MAX_BODY_BYTES),
         }
     }
 
+    /// Takes what a list of this many pods needs out of the budget for good, as soon as it is free. Requests that
+    /// come later wait behind it.
+    pub fn make_room_for_pods(&self, pods: usize) {
+        let needed = pods.saturating_sub(PODS_IN_PROCESS).saturating_mul(POD_BYTES).min(self.max_for_pods);
+        let taken = self.taken_for_pods.fetch_max(needed, Ordering::Relaxed);
+        let Some(missing) = needed.checked_sub(taken).filter(|missing| *missing > 0) else { return };
+        let (shared, permits) = (self.shared.clone(), u32::try_from(missing).unwrap_or(u32::MAX));
+        tokio::spawn(async move {
+            let permit = shared.acquire_many_owned(permits).await;
+            permit.expect("the budget is never closed").forget();
+        });
+    }
+
     /// Waits until `bytes` are free and takes them, in the order of the calls. More than the budget holds can
     /// never be taken; [`MemoryPlan`] leaves room for several of the longest bodies.
     pub async fn reserve(&self, bytes: usize, memory_use: MemoryUse) -> Reservation {
--- a/crates/stagepond-sidecar/src/reducer.rs
+++ b/crates/stagepond-sidecar/src/reducer.rs
@@ -570,7 +570,6 @@
     }
 
     /// Number of pods that are still remembered.
-    #[cfg(test)]
     pub fn known_pod_count(&self) -> usize {
         self.host.pods.len().max(self.host.addresses.len())
     }
--- a/crates/stagepond-sidecar/tests/memory_budget.rs
+++ b/crates/stagepond-sidecar/tests/memory_budget.rs
@@ -71,3 +71,23 @@
     assert!(reserve_now(&budget, 1, MemoryUse::Request).is_none());
     assert!(second.now_or_never().is_some());
 }
+
+/// Guards against long lists of pods that count nowhere.
+#[rstest]
+#[tokio::test]
+async fn a_long_list_of_pods_takes_its_room_once_and_leaves_some() {
+    let budget = MemoryBudget::new(8 * MIB);
+    let free = |budget: &MemoryBudget| {
+        let taken = std::iter::from_fn(|| reserve_now(budget, MAX_BODY_BYTES, MemoryUse::Request));
+        taken.collect::<Vec<_>>().len()
+    };
+    let at_first = free(&budget);
+    let mut left = Vec::new();
+    for pods in [100, 1024, 1024, 3200, 100, 1_000_000] {
+        budget.make_room_for_pods(pods);
+        tokio::task::yield_now().await;
+        left.push(free(&budget));
+    }
+    assert_eq!((left[0], left[1]), (at_first, left[2]));
+    assert!(left[1] < at_first && left[3] < left[1] && left[4] == left[3] && left[5] >= 8, "{left:?}");
+}
