--- a/crates/stagepond-sidecar/src/lib.rs
+++ b/crates/stagepond-sidecar/src/lib.rs
@@ -16,6 +16,9 @@
 mod leadership_tests;
 pub mod lifecycle;
 pub mod memory;
+pub mod message_progress;
+#[cfg(test)]
+mod message_progress_tests;
 pub mod messages;
 pub mod operators;
 pub mod peers;
--- a/crates/stagepond-sidecar/src/memory.rs
+++ b/crates/stagepond-sidecar/src/memory.rs
@@ -13,7 +13,7 @@
 use hyper::HeaderMap;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
-use crate::connection::MAX_HEAD_BYTES;
+use crate::message_progress::MAX_HEAD_BYTES;
 use crate::messages::MAX_BODY_BYTES;
 
 /// Part of the limit that nothing is planned for: what the allocator can't use again at once. The denominator.
--- a/crates/stagepond-sidecar/src/pods.rs
+++ b/crates/stagepond-sidecar/src/pods.rs
@@ -26,8 +26,9 @@
 
 use crate::body::{bytes_to_reserve, read_body, BodyError};
 use crate::config::TransportConfig;
-use crate::connection::{ConnectionTrace, TracedConnection, MAX_HEAD_BYTES};
+use crate::connection::{ConnectionTrace, TracedConnection};
 use crate::memory::{head_bytes_to_reserve, MemoryBudget, MemoryUse};
+use crate::message_progress::MAX_HEAD_BYTES;
 use crate::messages::*;
 use crate::stream::RateLimitedLog;
 
