--- a/crates/stagepond-lab/src/crowd/memory.rs
+++ b/crates/stagepond-lab/src/crowd/memory.rs
@@ -137,7 +137,7 @@
 }
 
 /// The most memory that a process has held so far, in KiB.
-fn read_peak_kib(pid: u32) -> Result<u64> {
+pub fn read_peak_kib(pid: u32) -> Result<u64> {
     let status = std::fs::read_to_string(Path::new("/proc").join(pid.to_string()).join("status"))?;
     let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).context("no VmHWM")?;
     Ok(peak.trim().trim_end_matches("kB").trim().parse()?)
--- a/crates/stagepond-lab/src/crowd/mod.rs
+++ b/crates/stagepond-lab/src/crowd/mod.rs
@@ -3,4 +3,4 @@
 mod form;
 pub mod memory;
 
-pub use form::ClientForm;
+pub use form::{run as run_client, ClientForm};
--- a/crates/stagepond-lab/src/soak/mod.rs
+++ b/crates/stagepond-lab/src/soak/mod.rs
@@ -12,4 +12,4 @@
 pub(crate) use environment::Environment;
 pub use report::Report;
 pub use run::{run_many, SoakOptions};
-pub use script::PodMix;
+pub use script::{PodMix, SoakKind};
--- a/crates/stagepond-lab/src/soak/report.rs
+++ b/crates/stagepond-lab/src/soak/report.rs
@@ -30,6 +30,10 @@
     pub faults: Vec<Fault>,
     /// Longest time from SIGTERM to the exit.
     pub longest_exit: Duration,
+    /// The most memory that one sidecar process held, in KiB.
+    pub peak_memory_kib: u64,
+    /// Requests whose clients left before the answer.
+    pub left: u64,
     /// Answer times in microseconds of requests sent while the sidecar was restarted.
     within_restarts: Histogram<u64>,
     /// Answer times in microseconds of all other requests.
@@ -50,6 +54,8 @@
             failures_with_well_pods: BTreeMap::new(),
             faults: Vec::new(),
             longest_exit: Duration::ZERO,
+            peak_memory_kib: 0,
+            left: 0,
             within_restarts: histogram(),
             outside_restarts: histogram(),
         }
@@ -65,6 +71,7 @@
     /// Counts a request.
     pub fn add(&mut self, record: &Record, within_restart: bool, well_pods: bool) {
         self.requests += 1;
+        self.left += u64::from(record.ending == Ending::Left);
         let Ending::Answered { status } = record.ending else { return };
         *self.statuses.entry(status).or_default() += 1;
         if status == 502 && well_pods {
@@ -87,6 +94,8 @@
         }
         self.faults.extend(other.faults);
         self.longest_exit = self.longest_exit.max(other.longest_exit);
+        self.peak_memory_kib = self.peak_memory_kib.max(other.peak_memory_kib);
+        self.left += other.left;
         self.within_restarts += &other.within_restarts;
         self.outside_restarts += &other.outside_restarts;
     }
@@ -114,12 +123,14 @@
         print_quantiles("within restarts", &self.within_restarts);
         let statuses: Vec<String> = self.statuses.iter().map(|(status, n)| format!("{status}:{n}")).collect();
         println!(
-            "soak: runs={} restarts={} requests={} statuses={} longest_exit_ms={} faults={}",
+            "soak: runs={} restarts={} requests={} left={} statuses={} longest_exit_ms={} peak_memory_kib={} faults={}",
             self.runs,
             self.restarts,
             self.requests,
+            self.left,
             statuses.join(","),
             self.longest_exit.as_millis(),
+            self.peak_memory_kib,
             self.faults.len()
         );
     }
--- a/examples/mock_server.rs
+++ b/examples/mock_server.rs
@@ -8,7 +8,7 @@
 #![allow(dead_code)]
 
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -34,6 +34,8 @@
     /// Request line and headers, without the empty line at the end.
     pub head: String,
     pub body: Vec<u8>,
+    /// When its last byte was read.
+    pub received_at: Instant,
     commands: mpsc::UnboundedSender<WriteCommand>,
 }
 
@@ -176,7 +178,13 @@
                 Ok(len) if len > 0 => {
                     while let Some((head, body)) = take_request(&mut buffer) {
                         let commands = commands.clone();
-                        let _ = events.send(ServerEvent::Request(Request { connection, head, body, commands }));
+                        let _ = events.send(ServerEvent::Request(Request {
+                            connection,
+                            head,
+                            body,
+                            received_at: Instant::now(),
+                            commands,
+                        }));
                     }
                 }
                 _ => break,
