--- a/crates/stagepond-lab/src/main.rs
+++ b/crates/stagepond-lab/src/main.rs
@@ -5,7 +5,7 @@
 use std::process::ExitCode;
 use std::time::{Duration, Instant};
 
-use clap::{Parser, Subcommand};
+use clap::{Parser, Subcommand, ValueEnum};
 use stagepond_lab::crowd::memory::{self, CrowdOptions};
 use stagepond_lab::crowd::ClientForm;
 use stagepond_lab::leadership::measure::{self, Disruption};
@@ -519,7 +519,7 @@
                 duration: Duration::from_secs_f64(seconds),
             };
             let groups = match forms.is_empty() {
-                true => ClientForm::ALL.into_iter().map(|form| vec![form]).collect(),
+                true => ClientForm::value_variants().iter().map(|form| vec![*form]).collect(),
                 false => vec![forms],
             };
             measure_memory(&base, &groups, &clients, &memory_mb, &sockets, repeat)
--- a/crates/stagepond-lab/src/soak/mod.rs
+++ b/crates/stagepond-lab/src/soak/mod.rs
@@ -7,9 +7,11 @@
 mod report;
 mod run;
 mod script;
+mod sidecar;
 
 pub use account::{Fault, FaultKind};
 pub(crate) use environment::Environment;
 pub use report::Report;
 pub use run::{run_many, SoakOptions};
 pub use script::{PodMix, SoakKind};
+pub(crate) use sidecar::Sidecar;
--- a/crates/stagepond-sidecar/src/connection.rs
+++ b/crates/stagepond-sidecar/src/connection.rs
@@ -48,26 +48,26 @@
 
 /// Looks at a socket for the end of the connection, without reading from it.
 fn peer_state(stream: &TcpStream) -> PeerState {
-    let ended = PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR;
-    let mut polled = [PollFd::new(stream, PollFlags::IN | PollFlags::RDHUP)];
-    let events = match poll(&mut polled, Some(&Timespec::default())) {
-        Ok(_) => polled[0].revents(),
-        // Without an answer of the system the bytes themselves are looked at.
-        Err(_) => PollFlags::IN,
-    };
-    if events.intersects(ended) {
-        return PeerState::Gone;
-    }
-    if !events.contains(PollFlags::IN) {
-        return PeerState::Present;
-    }
-    match recv(stream.as_raw_fd(), &mut [0; MAX_UNREAD_BYTES], MsgFlags::MSG_PEEK) {
-        Ok(MAX_UNREAD_BYTES) => PeerState::Hidden,
-        Ok(1..) | Err(Errno::EAGAIN | Errno::EINTR) => PeerState::Present,
+    let peek = |into: &mut [u8]| recv(stream.as_raw_fd(), into, MsgFlags::MSG_PEEK);
+    match peek(&mut [0]) {
+        // The system had nothing to say, or not the means to say it.
+        Err(Errno::EAGAIN | Errno::EINTR | Errno::ENOMEM | Errno::ENOBUFS) => PeerState::Present,
         Ok(0) | Err(_) => PeerState::Gone,
+        Ok(_) if has_end_behind_unread_bytes(stream) => PeerState::Gone,
+        Ok(_) => match peek(&mut [0; MAX_UNREAD_BYTES]) {
+            Ok(MAX_UNREAD_BYTES) => PeerState::Hidden,
+            _ => PeerState::Present,
+        },
     }
 }
 
+/// Whether the connection has been closed or reset, though there are bytes to read.
+fn has_end_behind_unread_bytes(stream: &TcpStream) -> bool {
+    let mut polled = [PollFd::new(stream, PollFlags::RDHUP)];
+    let ended = PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR;
+    poll(&mut polled, Some(&Timespec::default())).is_ok() && polled[0].revents().intersects(ended)
+}
+
 #[derive(Default)]
 struct TraceState {
     /// The socket, while the connection is open.
