--- a/crates/stagepond-sidecar/src/frontend/handlers.rs
+++ b/crates/stagepond-sidecar/src/frontend/handlers.rs
@@ -8,6 +8,7 @@
 use axum::middleware::Next;
 use axum::response::{IntoResponse, Response};
 use bytes::Bytes;
+use hyper::body::Body as _;
 use hyper::header::{self, HeaderValue};
 use hyper::http::uri::PathAndQuery;
 use hyper::{HeaderMap, StatusCode, Uri};
@@ -84,21 +85,28 @@
     }
 }
 
-/// Copies the headers out of the buffer that they were received in, which would be kept with them.
-fn copy_headers(headers: &HeaderMap) -> HeaderMap {
+/// Copies the target and the headers of a request out of the buffer that they were received in. The buffer would
+/// be kept with them while the body is received into others.
+fn copy_head(uri: &Uri, headers: &HeaderMap) -> (PathAndQuery, HeaderMap) {
+    let target = uri.path_and_query().map_or("/", PathAndQuery::as_str);
+    let target = PathAndQuery::try_from(target).unwrap_or_else(|_| PathAndQuery::from_static("/"));
     let mut copy = HeaderMap::with_capacity(headers.len());
     for (name, value) in headers {
         let value =
             HeaderValue::from_bytes(value.as_bytes()).expect("a header value is one when it is copied");
         copy.append(name, value);
     }
-    copy
+    (target, copy)
 }
 
-/// Copies the target of a request, as [`copy_headers`] does.
-fn copy_target(uri: &Uri) -> PathAndQuery {
-    let target = uri.path_and_query().map_or("/", PathAndQuery::as_str);
-    PathAndQuery::try_from(target).unwrap_or_else(|_| PathAndQuery::from_static("/"))
+/// The target and the headers of a request, as they are forwarded.
+fn take_head(uri: Uri, headers: HeaderMap, has_body: bool) -> (PathAndQuery, HeaderMap) {
+    let (target, mut headers) = match (has_body, uri.path_and_query()) {
+        (false, Some(target)) => (target.clone(), headers),
+        _ => copy_head(&uri, &headers),
+    };
+    remove_hop_by_hop_headers(&mut headers);
+    (target, headers)
 }
 
 /// Receives the body of an invocation once there is memory for it and for a long head. Fails with the response
@@ -140,10 +148,8 @@
         Ok(checked) => checked,
         Err(rejection) => return close_after(rejection.into_response()),
     };
-    let (method, target) = (head.method, copy_target(&head.uri));
-    let mut headers = copy_headers(&head.headers);
-    remove_hop_by_hop_headers(&mut headers);
-    drop((head.uri, head.headers));
+    let method = head.method;
+    let (target, headers) = take_head(head.uri, head.headers, !body.is_end_stream());
     let body = match receive_body(&frontend, &connection, &headers, body, limit).await {
         Ok(body) => body,
         Err(response) => return response,
