--- a/crates/stagepond-lab/src/crowd/form.rs
+++ b/crates/stagepond-lab/src/crowd/form.rs
@@ -83,7 +83,7 @@
 /// Connects again and again as a client of this form until it is aborted.
 pub async fn run(form: ClientForm, to: SocketAddr, number: usize, counts: impl Fn(ClientCounts)) {
     for attempt in 0u64.. {
-        let id = format!("{number}-{attempt}");
+        let id = format!("crowd-{number}-{attempt}");
         // A crowd that outlives the sidecar must not wait for the operating system's long time limit.
         let connecting = tokio::time::timeout(STAY_TIME, TcpStream::connect(to));
         if let Ok(Ok(mut stream)) = connecting.await {
--- a/crates/stagepond-sidecar/src/frontend.rs
+++ b/crates/stagepond-sidecar/src/frontend.rs
@@ -24,7 +24,7 @@
 
 use crate::client_connections::{ClientConnections, CloseSignals, ConnectionCounts, ConnectionId};
 use crate::connection::{ConnectionTrace, PeerState, TracedConnection};
-use crate::memory::{MemoryBudget, MemoryUse, Reservation};
+use crate::memory::{longest_request_wait, MemoryBudget, MemoryUse, Reservation};
 use crate::message_progress::MAX_HEAD_BYTES;
 use crate::messages::*;
 use crate::request_head::Operations;
@@ -45,10 +45,6 @@
 const SWEEP_INTERVAL: Tenths = Tenths::ms(200);
 /// Interval at which a request that waits for memory asks others to make room.
 const MEMORY_CHECK_INTERVAL: Tenths = Tenths::ms(50);
-/// Longest wait for memory. The request has to be received within its read timeout after that.
-const MAX_MEMORY_WAIT: Tenths = Tenths::ms(1000);
-/// Share of the client's time limit that a request may wait for memory.
-const MEMORY_WAIT_SHARE: f64 = 0.4;
 
 /// The HTTP server for clients.
 pub struct Frontend {
@@ -382,7 +378,7 @@
     /// Waits for memory for a request, and asks clients that send slowly to make room. `None` if it does not come
     /// in a part of the client's time limit.
     async fn reserve_memory(&self, bytes: usize, limit: Tenths) -> Option<Reservation> {
-        let wait_ends_at = self.clock.now() + MAX_MEMORY_WAIT.min(limit.scale(MEMORY_WAIT_SHARE));
+        let wait_ends_at = self.clock.now() + longest_request_wait(limit);
         let reserving = self.memory.reserve(bytes, MemoryUse::Request);
         tokio::pin!(reserving);
         loop {
--- a/crates/stagepond-sidecar/src/memory.rs
+++ b/crates/stagepond-sidecar/src/memory.rs
@@ -11,6 +11,7 @@
 
 use bytes::Bytes;
 use hyper::HeaderMap;
+use stagepond::host::Tenths;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
 use crate::message_progress::MAX_HEAD_BYTES;
@@ -37,7 +38,11 @@
 /// What one field of a head takes in the maps that hold it, without its name and value.
 const FIELD_BYTES: usize = 256;
 /// Part of the budget that is for responses alone. The denominator.
-const RESPONSES_DIVISOR: usize = 4;
+const RESPONSES_DIVISOR: usize = 8;
+/// Longest wait of a request for memory. The request has to be received within its read timeout after that.
+const MAX_REQUEST_WAIT: Tenths = Tenths::ms(1000);
+/// Share of the client's time limit that a request may wait for memory.
+const REQUEST_WAIT_SHARE: f64 = 0.4;
 /// The budget holds at least this many of the longest bodies, however small the limit is.
 const MIN_BODIES: usize = 8;
 
@@ -69,6 +74,11 @@
     }
 }
 
+/// How long a request with this time limit may wait for memory until it is refused.
+pub fn longest_request_wait(limit: Tenths) -> Tenths {
+    MAX_REQUEST_WAIT.min(limit.scale(REQUEST_WAIT_SHARE))
+}
+
 /// Bytes to reserve for a head beyond those that count for its connection.
 pub fn head_bytes_to_reserve(headers: &HeaderMap) -> usize {
     let texts: usize = headers.iter().map(|(name, value)| name.as_str().len() + value.len()).sum();
